--- /dev/null
+++ b/pulleydeal/app.py
@@ -0,0 +1,117 @@
+"""Puts the slices together and runs their loops."""
+
+import asyncio
+import logging
+import random
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.credits.service import Credits
+from pulleydeal.fleet.cloud import Cloud
+from pulleydeal.fleet.service import Fleet
+from pulleydeal.http import Request, Response, Server, answer
+from pulleydeal.membership.service import Membership
+from pulleydeal.membership.siblings import Siblings
+from pulleydeal.metrics import Metrics
+from pulleydeal.placement.service import Placement
+from pulleydeal.settings import Settings
+from pulleydeal.store.client import StateClient
+from pulleydeal.store.replica import Replica
+from pulleydeal.store.service import Store, forever
+from pulleydeal.submissions.service import Submissions
+from pulleydeal.workers.service import Workers
+
+log = logging.getLogger("pulleydeal")
+
+
+class App:
+    def __init__(self, settings: Settings, clock: Clock, rng: random.Random) -> None:
+        deployment = settings.deployment
+        nodes = 1 + len(settings.siblings)
+        limits = deployment.state
+        self._settings = settings
+        self.metrics = Metrics()
+        self.client = StateClient(
+            settings.endpoints.state, clock, limits.rps, limits.write_rps, nodes
+        )
+        self.replica = Replica()
+        self.store = Store(self.client, self.replica, clock, rng, limits.txn_ops)
+        self.siblings = Siblings(settings, clock)
+        self.membership = Membership(settings, self.store, self.siblings, clock)
+        self.workers = Workers(self.membership, self.store, deployment.workers, clock, self.metrics)
+        teams, zones = settings.teams, deployment.zones
+        self.credits = Credits(
+            self.membership,
+            self.siblings,
+            self.replica,
+            self.workers,
+            teams,
+            clock,
+            self.metrics,
+        )
+        self.placement = Placement(
+            self.membership, self.siblings, self.store, teams, zones, clock, self.metrics
+        )
+        cloud = Cloud(settings.endpoints.cloud, clock, deployment.cloud.rps)
+        self.fleet = Fleet(self.membership, self.store, cloud, teams, zones, clock)
+        self.submissions = Submissions(
+            self.membership,
+            self.store,
+            teams,
+            zones,
+            clock,
+            self.metrics,
+            self.placement.reason,
+        )
+        sockets = int(deployment.machine_limits.max_sockets * c.SOCKET_SHARE_SERVER)
+        self.server = Server(self.handle, sockets)
+
+    async def handle(self, request: Request) -> Response:
+        path = request.path.partition("?")[0]
+        if path == "/checkin":
+            if request.method != "POST":
+                return answer(405, {"error": "only POST"})
+            return await self.workers.checkin(request)
+        if path == "/submissions" or path.startswith("/submissions/"):
+            return await self.submissions.handle(request)
+        if request.method != "GET":
+            return answer(404 if path not in ("/up", "/metrics") else 405, {"error": path})
+        if path == "/up":
+            ready = self.submissions.ready
+            return answer(200 if ready else 503, {"ready": ready})
+        if path == "/metrics":
+            return Response(200, self._measures(), content_type="text/plain; version=0.0.4")
+        return answer(404, {"error": "no such path"})
+
+    def _measures(self) -> bytes:
+        self.metrics.epoch.set(self.membership.epoch)
+        self.metrics.store_requests.set(self.client.requests)
+        self.metrics.store_refusals.set(self.client.refusals)
+        self.metrics.checkin_age.set(self.workers.oldest_report_s())
+        return self.metrics.text()
+
+    async def run(self) -> None:
+        await self.server.start(self._settings.api_addr)
+        await self.siblings.start()
+        log.info(
+            "node %s in %s listens on %s",
+            self._settings.node_name,
+            self._settings.zone,
+            self._settings.api_addr,
+        )
+        loops = {
+            "follow": self.store.follow,
+            "membership": self.membership.keep,
+            "view": self.membership.tend,
+            "beat": self.membership.beat,
+            "workers": self.workers.work,
+            "machines": self.workers.tend,
+            "credits": self.credits.work,
+            "placement": self.placement.work,
+            "catalogue": self.fleet.catalog,
+            "rent": self.fleet.rent,
+            "return": self.fleet.give_back,
+            "list": self.fleet.listing,
+        }
+        loops |= {f"link to {link.name}": link.run for link in self.siblings.links()}
+        await asyncio.gather(*(forever(name, step) for name, step in loops.items()))
--- /dev/null
+++ b/pulleydeal/cli.py
@@ -0,0 +1,103 @@
+"""The command line. `--config FILE` alone means `serve`."""
+
+import argparse
+import asyncio
+import http.client
+import json
+import logging
+import os
+import random
+import sys
+from pathlib import Path
+
+from pulleydeal import __version__
+from pulleydeal.settings import Settings, SettingsError, load, split_address
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(prog="pulleydeal", description="A credit-driven scheduler.")
+    top.add_argument("--version", action="version", version=f"pulleydeal {__version__}")
+    commands = top.add_subparsers(dest="command", required=True)
+    serve = commands.add_parser("serve", help="run a node")
+    check = commands.add_parser("check", help="check a settings file")
+    for command in (serve, check):
+        command.add_argument("--config", type=Path, required=True, help="settings file (JSON)")
+    submit = commands.add_parser("submit", help="submit a job")
+    submit.add_argument("file", type=Path, help="the job (JSON); - reads standard input")
+    status = commands.add_parser("status", help="show a job")
+    cancel = commands.add_parser("cancel", help="cancel a job")
+    for command in (status, cancel):
+        command.add_argument("job", help="the job's id")
+    for command in (submit, status, cancel):
+        command.add_argument("--node", required=True, help="a node's address, HOST:PORT")
+    return top
+
+
+def main(argv: list[str] | None = None) -> int:
+    args = list(sys.argv[1:] if argv is None else argv)
+    if args and args[0].startswith("--config"):
+        args.insert(0, "serve")
+    options = parser().parse_args(args)
+    if options.command in ("serve", "check"):
+        try:
+            settings = load(options.config)
+        except SettingsError as error:
+            print(f"pulleydeal: {error}", file=sys.stderr)
+            return 2
+        if options.command == "check":
+            print(f"{options.config}: good")
+            return 0
+        return serve(settings)
+    if options.command == "submit":
+        source = sys.stdin.buffer if str(options.file) == "-" else None
+        try:
+            body = source.read() if source else options.file.read_bytes()
+        except OSError as error:
+            print(f"pulleydeal: {options.file}: {error.strerror}", file=sys.stderr)
+            return 2
+        return call(options.node, "POST", "/submissions", body)
+    path = f"/submissions/{options.job}"
+    if options.command == "status":
+        return call(options.node, "GET", path)
+    return call(options.node, "POST", path + "/cancel")
+
+
+def call(node: str, method: str, path: str, body: bytes = b"") -> int:
+    try:
+        host, port = split_address(node)
+        connection = http.client.HTTPConnection(host, port, timeout=10)
+        connection.request(method, path, body)
+        response = connection.getresponse()
+        reply = response.read()
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        print(f"pulleydeal: {node}: {error}", file=sys.stderr)
+        return 1
+    try:
+        print(json.dumps(json.loads(reply), indent=2))
+    except ValueError:
+        print(reply.decode(errors="replace"))
+    return 0 if response.status < 300 else 1
+
+
+def serve(settings: Settings) -> int:
+    level = LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
+    logging.basicConfig(
+        level=level, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s"
+    )
+    from pulleydeal.app import App  # only a node needs it; the other commands start faster
+    from pulleydeal.clock import SystemClock
+
+    async def run() -> None:
+        app = App(settings, SystemClock(), random.Random())
+        await app.run()
+
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        print(f"pulleydeal: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        pass
+    return 0
--- /dev/null
+++ b/pulleydeal/constants.py
@@ -0,0 +1,90 @@
+"""Every constant of the service, each with its unit and the reason for its value.
+
+Names end in their unit where they have one (_S seconds, _MS milliseconds, _B bytes).
+Whatever the platform's settings give (leases, rates, limits) is not repeated here.
+"""
+
+# --- HTTP ---------------------------------------------------------------------------------
+MAX_BODY_B = 65_536  # PROTOCOL: no request body may exceed 64 KiB
+MAX_HEADER_B = 16_384  # ample for PROTOCOL's requests; bounds what one socket can hold
+IDLE_CONNECTION_S = 60.0  # users poll every 5 s, so a minute of silence means nobody is there
+REQUEST_READ_S = 10.0  # a started request that is not complete by then is a stuck client
+CLIENT_IDLE_S = 15.0  # reuse a connection for at most this long unused: peers close idle ones
+READ_CHUNK_B = 65_536  # one read takes at most one largest body
+SOCKET_SHARE_SERVER = 0.75  # of max_sockets for incoming; the rest is for our own calls
+RETRY_AFTER_S = 1  # what a refused user is told: PROTOCOL retries after 1 s or more
+
+# --- State service ------------------------------------------------------------------------
+STATE_TIMEOUT_S = 2.0  # answers take <10 ms, now and then a few hundred: 2 s is no answer
+FRESH_TIMEOUT_S = 1.2  # users wait 2 s for a poll: leave them time to hear 503
+COMMIT_WAIT_S = 4.0  # users wait 5 s for a submission; answer before they give up
+WATCH_HOLD_MS = 5_000  # a long poll; short enough that a dead watch is noticed
+WATCH_SLACK_S = 2.0  # on top of the hold before a watch counts as unanswered
+WATCH_SPACING_S = 0.03  # between two watches: many changes then share one request
+BACKOFF_MIN_S = 0.05  # first pause after 429/503 or no answer
+BACKOFF_MAX_S = 0.5  # longest pause: recovery should be noticed within half a second
+PAGE_LIMIT = 500  # items per page on loading the replica; below the service's 1,000
+CHUNK_TASKS = 64  # tasks per stored chunk: 64 of at most ~100 B stay under value_kb
+COMMIT_B = 60_000  # largest transaction body we build; the service's limit is 64 KiB
+CONDITIONS_PER_OP = 4  # PROTOCOL: four conditions per allowed change
+SCRATCH_TRIES = 6  # attempts of one change against moving marks before it is given up
+WRITE_SHARE = 0.9  # part of the write rate we use: bursts of others are not known to us
+
+# --- Membership ---------------------------------------------------------------------------
+MEMBER_TTL_MS = 3_000  # a member unheard by the state service this long is voted out
+MEMBER_RENEW_S = 0.9  # three renewals per lease: two may be lost
+BEAT_S = 0.5  # sibling heartbeat: carries credit totals, so it bounds how stale they are
+CUT_AFTER_S = 3.5  # silence of a living sibling that counts as a cut; > one lost beat or stall
+HEAL_AFTER_S = 4.0  # a healed pair must stay heard this long: flapping links stay cut
+EPOCH_SHIFT = 24  # bits of a token below the epoch: the per-machine fence counter
+DIAL_TIMEOUT_S = 1.0  # sibling connect: hosts are a few ms apart
+MAX_FRAME_B = 1 << 20  # sibling frame bound; an ask of 64 tasks is a few KiB
+
+# --- Workers ------------------------------------------------------------------------------
+CLOCK_DRIFT = 0.001  # twice PROTOCOL's 0.05%: two clocks may drift apart both ways
+LEASE_MARGIN_S = 1.0  # on top of a lease before its tasks count as gone
+RENEW_MARGIN_S = 3.0  # how much earlier than strictly needed a blind node stops renewing
+ORDERS_TIMEOUT_S = 3.0  # an order unanswered this long has an unknown outcome: fence
+ORDERS_IN_FLIGHT = 16  # at most so many direct orders at once: bounds sockets and memory
+SILENT_REPORTS = 2.5  # report periods of silence after which a machine gives no credit
+SILENT_RETURN_LEASES = 0.75  # lease times of silence after which a machine is given back
+KILL_REPEAT_S = 2.0  # a kill not yet seen to work is sent again after this
+STOP_SLACK_S = 4.0  # seconds on top of stow_s between the last kill and a spot machine's end
+SICK_ERRORS = 3  # failed tasks (of two jobs or more) that mark a machine as sick
+SICK_JOBS = 2  # one job's mistake fails everywhere; two jobs blame the machine
+SICK_WINDOW_S = 90.0  # errors further apart than this do not add up
+
+# --- Credits ------------------------------------------------------------------------------
+PROBES = 3  # credits that a task looks at from the queue head (DESIGN: three, ours)
+HOLD_S = 3.0  # a held credit whose binding is not durable by then is free again
+GANG_HOLD_S = 12.0  # gangs gather longer: members' machines may have to be emptied
+ASK_TTL_S = 3.0  # a waiting task's place in an owner's queue, renewed by its leader
+ASK_REPEAT_S = 1.0  # how often the leader renews it
+RESERVE_S = 15.0  # how long room emptied by preemption is kept for the one it was made for
+PREEMPT_AFTER_S = 0.4  # an ask first waits this long for a credit on its way
+
+# --- Placement ----------------------------------------------------------------------------
+PLACE_TICK_S = 0.25  # the placement loop's longest sleep; changes wake it at once
+MAX_ASKS_PER_JOB = 64  # tasks of one job that queue at owners at once
+ERROR_BACKOFF_S = 1.0  # first pause before a failed task is tried again
+ERROR_BACKOFF_MAX_S = 30.0  # longest pause; a job with a mistake fails until cancelled
+ZONE_TRY_S = 4.0  # how long a gang gathers in one zone before it tries the next
+
+# --- Fleet --------------------------------------------------------------------------------
+CLOUD_TIMEOUT_S = 5.0  # cloud calls take about 250 ms
+FLEET_TICK_S = 1.0  # how often rental plans are made
+LIST_EVERY_S = 4.0  # list calls: the list lags by seconds anyway, and calls are few
+CATALOG_EVERY_S = 60.0  # prices move slowly
+MAX_HIRE = 8  # machines per rental request: their records fit one transaction
+REFUSED_S = 15.0  # how long a zone that refused a rental is left alone
+BOOT_FACTOR = 5.0  # times ready_s (plus a lease) after which a machine never comes up
+BOOT_LATE_FACTOR = 2.5  # times ready_s after which a booting machine is no longer counted on
+PLAN_TASKS = 2_000  # waiting tasks looked at in one plan: bounds its processor time
+IDLE_RETURN_S = 60.0  # a deleted machine costs 60 s anyway, so it is kept that long
+GONE_KEEP_S = 300.0  # how long a gone machine's record stays, so late reports don't revive it
+RETURN_BATCH = 50  # names per return call; PROTOCOL allows 100
+SPOT_DISCOUNT = 0.8  # spot pays if it costs less than this part of the ordinary price
+LIST_PAGE = 500  # machines per list call (PROTOCOL's maximum)
+
+# --- Loops --------------------------------------------------------------------------------
+LOOP_PAUSE_S = 0.5  # a loop that failed is tried again after this
--- /dev/null
+++ b/pulleydeal/credits/__init__.py
@@ -0,0 +1,1 @@
+"""Credit queues: free room signalled by machines, spent once by their one owner."""
--- /dev/null
+++ b/pulleydeal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Catalogue, rentals, draining, demand: which machines there should be."""
--- /dev/null
+++ b/pulleydeal/fleet/cloud.py
@@ -0,0 +1,61 @@
+"""The cloud, spoken to by its protocol."""
+
+import asyncio
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.fleet import messages as m
+from pulleydeal.http import Client, NoAnswer
+from pulleydeal.store.client import Rate
+from pulleydeal.store.records import MachineType
+
+
+class CloudTrouble(Exception):
+    """Refused or unanswered; a rental or a return may still be executed if unanswered."""
+
+    def __init__(self, reason: str, executed: bool) -> None:
+        super().__init__(reason)
+        self.may_be_executed = executed
+
+
+class NoCapacity(Exception):
+    """None of this kind to be had now."""
+
+
+class Cloud:
+    def __init__(self, address: str, clock: Clock, rps: float) -> None:
+        self._http = Client(address, clock)
+        self._rate = Rate(rps * 0.8, clock)
+
+    async def _call(self, method: str, path: str, body: object = None) -> bytes:
+        while (pause := self._rate.take(1, False)) > 0:
+            await asyncio.sleep(pause)
+        try:
+            status, reply = await self._http.request(method, path, body, c.CLOUD_TIMEOUT_S)
+        except NoAnswer as error:
+            raise CloudTrouble(str(error), error.sent) from error
+        if status == 503 and b"capacity" in reply:
+            raise NoCapacity
+        if status != 200:
+            raise CloudTrouble(f"{method} {path}: {status} {reply[:100]!r}", False)
+        return reply
+
+    async def catalog(self) -> list[MachineType]:
+        return [t.type() for t in m.CATALOG.decode(await self._call("GET", "/catalog")).types]
+
+    async def rent(self, request: str, type_: str, zone: str, spot: bool, count: int) -> list[str]:
+        body = m.rent(request, type_, zone, spot, count)
+        return m.RENTED.decode(await self._call("POST", "/rentals", body)).machines
+
+    async def give_back(self, machines: list[str]) -> None:
+        await self._call("POST", "/rentals/return", m.give_back(machines))
+
+    async def listing(self) -> list[m.Listed]:
+        found: list[m.Listed] = []
+        path = f"/rentals?limit={c.LIST_PAGE}"
+        while True:
+            after = f"&after={found[-1].id}" if found else ""
+            page = m.LISTING.decode(await self._call("GET", path + after))
+            found += page.machines
+            if not page.more or not page.machines:
+                return found
--- /dev/null
+++ b/pulleydeal/fleet/plan.py
@@ -0,0 +1,121 @@
+"""How many machines of which kind are missing or idle: plain functions over the replica."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from pulleydeal import constants as c
+from pulleydeal.credits.messages import Need
+from pulleydeal.credits.queue import Room
+from pulleydeal.placement import rules
+from pulleydeal.settings import Team
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Job, Replica
+
+Kind = tuple[str, str, bool]  # type, zone, spot
+
+
+@dataclass(slots=True)
+class Space:
+    """A machine that is there, boots, or is planned."""
+
+    kind: Kind
+    room: Room
+    machine: str = ""
+
+
+@dataclass(slots=True)
+class Demand:
+    """What the plan is made for."""
+
+    jobs: list[Job]
+    spaces: list[Space]
+    usage: dict[str, rules.Amount]
+    zone_of: dict[str, str]
+    types: dict[str, r.MachineType]
+    teams: dict[str, Team]
+    zones: list[str]
+    refused: set[Kind]
+    new: list[Space] = field(default_factory=list)
+
+
+def spaces(replica: Replica, wall: float) -> list[Space]:
+    found = []
+    for machine in replica.machines.values():
+        rec = machine.record
+        type_ = replica.types.get(rec.type)
+        if type_ is None or rec.state not in ("up", "boot"):
+            continue
+        if rec.state == "boot" and wall - rec.at > c.BOOT_LATE_FACTOR * type_.boot_s:
+            continue  # late: plan as if it never came
+        room = Room(type_.cpus, type_.gpus, type_.memory)
+        for job_id, _ in replica.bound.get(machine.id, {}):
+            spec = replica.jobs[job_id].spec
+            if spec is not None:
+                room.take(Need(spec.cpus, spec.gpus, spec.memory))
+        found.append(Space((rec.type, rec.zone, rec.spot), room, machine.id))
+    # Fullest first, so that what is free at the end is whole machines.
+    found.sort(key=lambda s: (s.room.gpus, s.room.cpus))
+    return found
+
+
+def missing(demand: Demand) -> Counter[Kind]:
+    """Packs the waiting tasks into the room there is; what is left over is to be rented."""
+    left = c.PLAN_TASKS
+    for job in demand.jobs:
+        spec = job.spec
+        if spec is None or spec.team not in demand.teams:
+            continue
+        used = rules.zones_used([t.machine for _, t in job.bindings()], demand.zone_of)
+        need = Need(spec.cpus, spec.gpus, spec.memory)
+        for _ in range(min(left, spec.tasks - job.done - job.bound)):
+            left -= 1
+            after = rules.add(demand.usage.get(spec.team, (0.0, 0.0)), (spec.cpus, spec.gpus))
+            if not rules.within_limit(demand.teams[spec.team], after):
+                break
+            demand.usage[spec.team] = after
+            zones = rules.zones_allowed(spec, used, demand.zones)
+            space = _fit(demand, spec, need, zones) or _add(demand, spec, need, zones)
+            if space is None:
+                break
+            space.room.take(need)
+            used[space.kind[1]] += 1
+    return Counter(space.kind for space in demand.new)
+
+
+def _fit(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
+    for space in demand.spaces + demand.new:
+        type_, zone, spot = space.kind
+        if (
+            zone in zones
+            and (spec.spot or not spot)
+            and (spec.types is None or type_ in spec.types)
+            and space.room.fits(need)
+        ):
+            return space
+    return None
+
+
+def _add(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
+    there = Counter(space.kind[1] for space in demand.spaces + demand.new)
+    options: list[tuple[float, int, Kind]] = []
+    for type_ in demand.types.values():
+        if spec.types is not None and type_.name not in spec.types:
+            continue
+        if not Room(type_.cpus, type_.gpus, type_.memory).fits(need):
+            continue
+        for zone in (z for z in zones if z in type_.zones):
+            for spot in (False, True):
+                kind = (type_.name, zone, spot)
+                if (spot and not spec.spot) or kind in demand.refused:
+                    continue
+                price = type_.spot_price if spot else type_.price
+                if spot and price > c.SPOT_DISCOUNT * type_.price:
+                    continue
+                options.append((price, there[zone], kind))
+    if not options:
+        return None
+    _, _, kind = min(options)
+    type_ = demand.types[kind[0]]
+    space = Space(kind, Room(type_.cpus, type_.gpus, type_.memory))
+    demand.new.append(space)
+    return space
--- /dev/null
+++ b/pulleydeal/fleet/service.py
@@ -0,0 +1,264 @@
+"""The fleet's leader talks to the cloud: rents, returns, and records what it finds."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.fleet import plan
+from pulleydeal.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from pulleydeal.membership.service import Membership
+from pulleydeal.settings import Team
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Machine
+from pulleydeal.store.service import Store
+
+log = logging.getLogger("pulleydeal.fleet")
+
+# Given back with all that is on them: the answer itself proves that it is gone.
+AT_ONCE = ("silent", "sick", "failed", "never came up")
+
+
+class Fleet:
+    def __init__(
+        self,
+        membership: Membership,
+        store: Store,
+        cloud: Cloud,
+        teams: dict[str, Team],
+        zones: list[str],
+        clock: Clock,
+    ) -> None:
+        self._membership = membership
+        self._store = store
+        self._replica = store.replica
+        self._cloud = cloud
+        self._teams = teams
+        self._zones = zones
+        self._clock = clock
+        self._serial = 0
+        self._refused: dict[plan.Kind, float] = {}
+        self._idle_since: dict[str, float] = {}
+        self._priced_at = -1e9
+        self._wake = asyncio.Event()
+        store.replica.listen(lambda kind, _: self._wake.set() if kind == "job" else None)
+
+    # --- machine types ----------------------------------------------------------------------
+    async def catalog(self) -> None:
+        """One round: the lead keeps the types (and prices) in the state service."""
+        await asyncio.sleep(0.1)
+        old = self._clock.now() - self._priced_at > c.CATALOG_EVERY_S
+        if not self._membership.leads_fleet() or not (old or not self._replica.types):
+            return
+        try:
+            catalog = r.Catalog(await self._cloud.catalog())
+        except (CloudTrouble, NoCapacity) as error:
+            log.info("no catalogue from the cloud: %s", error)
+            await asyncio.sleep(c.LOOP_PAUSE_S)
+            return
+        if catalog != self._replica.catalog:
+            await self._store.commit({r.VIEW: self._replica.view_version}, {r.CATALOG: catalog})
+        self._priced_at = self._clock.now()
+
+    # --- renting ----------------------------------------------------------------------------
+    async def rent(self) -> None:
+        """One round: unfinished rentals first, then what the plan misses."""
+        try:
+            async with asyncio.timeout(c.FLEET_TICK_S):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        await asyncio.sleep(0.2)  # let the placement use what is there
+        self._wake.clear()
+        if not self._membership.leads_fleet() or not self._replica.types:
+            return
+        if self._replica.rentals:
+            await asyncio.gather(*(self._ask(name) for name in list(self._replica.rentals)))
+            return
+        missing = plan.missing(self._demand())
+        names = []
+        for (type_, zone, spot), count in missing.items():
+            self._serial += 1
+            name = f"{self._membership.me}-{self._membership.incarnation}-{self._serial}"
+            record = r.RentalRecord(type_, zone, spot, min(count, c.MAX_HIRE), self._clock.wall())
+            # Durable before it is asked for: whoever leads next repeats it under this name.
+            if await self._store.commit(
+                {r.VIEW: self._replica.view_version, r.rental_key(name): 0},
+                {r.rental_key(name): record},
+            ):
+                names.append(name)
+        await asyncio.gather(*(self._ask(name) for name in names))
+
+    def _demand(self) -> plan.Demand:
+        now = self._clock.now()
+        self._refused = {k: until for k, until in self._refused.items() if until > now}
+        jobs = [self._replica.jobs[job] for job in self._replica.open_jobs]
+        jobs = [job for job in jobs if job.is_open and job.spec is not None]
+        jobs.sort(
+            key=lambda j: (
+                -(j.spec.priority if j.spec else 0),
+                j.record.at if j.record else 0.0,
+                j.id,
+            )
+        )
+        return plan.Demand(
+            jobs,
+            plan.spaces(self._replica, self._clock.wall()),
+            dict(self._replica.usage()),
+            {m: rec.record.zone for m, rec in self._replica.machines.items()},
+            self._replica.types,
+            self._teams,
+            self._zones,
+            set(self._refused),
+        )
+
+    async def _ask(self, name: str) -> None:
+        rental = self._replica.rentals.get(name)
+        if rental is None:
+            return
+        rec = rental.record
+        kind = (rec.type, rec.zone, rec.spot)
+        machines: list[str] = []
+        try:
+            machines = await self._cloud.rent(name, *kind, rec.count)
+            log.info(
+                "rented %d of %d %s in %s%s",
+                len(machines),
+                rec.count,
+                rec.type,
+                rec.zone,
+                " (spot)" if rec.spot else "",
+            )
+        except NoCapacity:
+            log.info("no %s to rent in %s%s", rec.type, rec.zone, " (spot)" if rec.spot else "")
+        except CloudTrouble as error:
+            log.info("rental %s: %s", name, error)
+            await asyncio.sleep(c.LOOP_PAUSE_S)
+            if error.may_be_executed or "429" in str(error):
+                return  # repeated under the same name
+        if len(machines) < rec.count:
+            self._refused[kind] = self._clock.now() + c.REFUSED_S
+        boot = r.MachineRecord("boot", *kind, at=self._clock.wall())
+        new = [m for m in machines if m not in self._replica.machines]
+        conditions = {r.rental_key(name): rental.version}
+        conditions |= {r.machine_key(machine): 0 for machine in new}
+        await self._store.commit(
+            conditions, {r.machine_key(machine): boot for machine in new}, [r.rental_key(name)]
+        )
+
+    # --- the list -------------------------------------------------------------------------
+    async def listing(self) -> None:
+        """One round: machines that failed or never came up are found in the cloud's list."""
+        await asyncio.sleep(c.LIST_EVERY_S)
+        if not self._membership.leads_fleet():
+            return
+        try:
+            listed = await self._cloud.listing()
+        except (CloudTrouble, NoCapacity) as error:
+            log.debug("no list: %s", error)
+            return
+        for entry in listed:
+            machine = self._replica.machines.get(entry.id)
+            type_ = self._replica.types.get(entry.type)
+            if machine is None:
+                if entry.state == "failed" or (
+                    entry.state == "starting" and type_ and self._late(entry.age_s, type_)
+                ):
+                    await self._cloud_return([entry.id])
+            elif machine.record.state in ("up", "boot") and entry.state == "failed":
+                await self._mark(machine, "failed")
+
+    def _late(self, age_s: float, type_: r.MachineType) -> bool:
+        return age_s > c.BOOT_FACTOR * type_.boot_s + c.LIST_EVERY_S
+
+    async def _cloud_return(self, machines: list[str]) -> bool:
+        try:
+            await self._cloud.give_back(machines)
+        except (CloudTrouble, NoCapacity) as error:
+            log.info("return of %s: %s", machines, error)
+            return False
+        return True
+
+    async def _mark(self, machine: Machine, why: str) -> bool:
+        key = r.machine_key(machine.id)
+        record = msgspec.structs.replace(
+            machine.record, state="drain", why=why, at=self._clock.wall()
+        )
+        conditions = {key: machine.version, r.VIEW: self._replica.view_version}
+        ok = await self._store.commit(conditions, {key: record}, urgent=False)
+        if ok:
+            log.info("machine %s is to go: %s", machine.id, why)
+        return ok
+
+    # --- returning ------------------------------------------------------------------------
+    async def give_back(self) -> None:
+        """One round: idle machines are marked, and marked ones given back once empty."""
+        await asyncio.sleep(c.FLEET_TICK_S)
+        if not self._membership.leads_fleet():
+            return
+        await self._mark_unneeded()
+        ready = [m for m in self._replica.machines.values() if self._returnable(m)]
+        for start in range(0, len(ready), c.RETURN_BATCH):
+            batch = ready[start : start + c.RETURN_BATCH]
+            if await self._cloud_return([m.id for m in batch]):
+                for machine in batch:
+                    await self._record_gone(machine.id)
+        await self._purge()
+
+    def _returnable(self, machine: Machine) -> bool:
+        if machine.record.state != "drain":
+            return False
+        if machine.record.why in AT_ONCE:
+            return True
+        # All bindings older than the mark must be seen; newer ones fail on the mark.
+        seen = self._replica.revision >= machine.version
+        return seen and not self._replica.bound.get(machine.id)
+
+    async def _record_gone(self, machine_id: str) -> None:
+        machine = self._replica.machines.get(machine_id)
+        while machine is not None and machine.record.state != "gone":
+            key = r.machine_key(machine_id)
+            record = msgspec.structs.replace(machine.record, state="gone", at=self._clock.wall())
+            if await self._store.commit({key: machine.version}, {key: record}):
+                log.info("machine %s given back (%s)", machine_id, machine.record.why)
+            machine = self._replica.machines.get(machine_id)
+
+    async def _mark_unneeded(self) -> None:
+        now, wall = self._clock.now(), self._clock.wall()
+        idle: dict[str, float] = {}
+        demand = self._demand()
+        plan.missing(demand)  # what waiting tasks will take is not idle
+        untouched = self._untouched(demand)
+        for machine in list(self._replica.machines.values()):
+            rec = machine.record
+            type_ = self._replica.types.get(rec.type)
+            if type_ is None:
+                continue
+            if rec.state == "boot" and self._late(wall - rec.at, type_):
+                await self._mark(machine, "never came up")
+            elif rec.state == "up" and machine.id in untouched:
+                idle[machine.id] = self._idle_since.get(machine.id, now)
+        self._idle_since = idle
+        for machine_id, since in idle.items():
+            if now - since > c.IDLE_RETURN_S:
+                await self._mark(self._replica.machines[machine_id], "idle")
+
+    def _untouched(self, demand: plan.Demand) -> set[str]:
+        """Machines with nothing bound that the plan does not need either."""
+        whole = set()
+        for space in demand.spaces:
+            type_ = self._replica.types[space.kind[0]]
+            full = (type_.cpus, type_.gpus, type_.memory)
+            if space.machine and (space.room.cpus, space.room.gpus, space.room.memory) == full:
+                whole.add(space.machine)
+        return whole
+
+    async def _purge(self) -> None:
+        wall = self._clock.wall()
+        for machine in list(self._replica.machines.values()):
+            old = machine.record.state == "gone" and wall - machine.record.at > c.GONE_KEEP_S
+            if old and not self._replica.bound.get(machine.id):
+                key = r.machine_key(machine.id)
+                await self._store.commit({key: machine.version}, {}, [key], urgent=False)
--- /dev/null
+++ b/pulleydeal/frames.py
@@ -0,0 +1,94 @@
+"""Hand-packed binary fields (struct) for what controllers say to each other."""
+
+import struct
+
+_U8 = struct.Struct("!B")
+_U16 = struct.Struct("!H")
+_U32 = struct.Struct("!I")
+_U64 = struct.Struct("!Q")
+_F64 = struct.Struct("!d")
+HEADER = struct.Struct("!IB")  # payload length, message type
+
+
+class BadFrame(Exception):
+    """A frame ends early or holds what it can't."""
+
+
+class Packer:
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+
+    def u8(self, value: int) -> "Packer":
+        self._parts.append(_U8.pack(value))
+        return self
+
+    def u16(self, value: int) -> "Packer":
+        self._parts.append(_U16.pack(value))
+        return self
+
+    def u32(self, value: int) -> "Packer":
+        self._parts.append(_U32.pack(value))
+        return self
+
+    def u64(self, value: int) -> "Packer":
+        self._parts.append(_U64.pack(value))
+        return self
+
+    def f64(self, value: float) -> "Packer":
+        self._parts.append(_F64.pack(value))
+        return self
+
+    def text(self, value: str) -> "Packer":
+        data = value.encode()
+        self._parts.append(_U16.pack(len(data)) + data)
+        return self
+
+    def texts(self, values: list[str]) -> "Packer":
+        self.u16(len(values))
+        for value in values:
+            self.text(value)
+        return self
+
+    def bytes(self) -> bytes:
+        return b"".join(self._parts)
+
+
+class Unpacker:
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self._at = 0
+
+    def _take(self, form: struct.Struct) -> bytes:
+        return self._raw(form.size)
+
+    def _raw(self, size: int) -> bytes:
+        end = self._at + size
+        if end > len(self._data):
+            raise BadFrame("frame ends early")
+        piece = self._data[self._at : end]
+        self._at = end
+        return piece
+
+    def u8(self) -> int:
+        return int(_U8.unpack(self._take(_U8))[0])
+
+    def u16(self) -> int:
+        return int(_U16.unpack(self._take(_U16))[0])
+
+    def u32(self) -> int:
+        return int(_U32.unpack(self._take(_U32))[0])
+
+    def u64(self) -> int:
+        return int(_U64.unpack(self._take(_U64))[0])
+
+    def f64(self) -> float:
+        return float(_F64.unpack(self._take(_F64))[0])
+
+    def text(self) -> str:
+        try:
+            return self._raw(self.u16()).decode()
+        except UnicodeDecodeError as error:
+            raise BadFrame("not UTF-8") from error
+
+    def texts(self) -> list[str]:
+        return [self.text() for _ in range(self.u16())]
--- /dev/null
+++ b/pulleydeal/http.py
@@ -0,0 +1,243 @@
+"""HTTP/1.1 over asyncio streams with h11: a small server and a pooled client."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import h11
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.settings import split_address
+
+log = logging.getLogger("pulleydeal.http")
+
+
+class NoAnswer(Exception):
+    """No response came. `sent` tells whether the request may have been executed."""
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.sent = sent
+
+
+@dataclass(slots=True)
+class Request:
+    method: str
+    path: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class Response:
+    status: int
+    body: bytes = b""
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    content_type: str = "application/json"
+    written: Callable[[], None] | None = None  # called once the answer is on its way
+
+
+def answer(status: int, body: object = None, retry_after: int | None = None) -> Response:
+    headers = [] if retry_after is None else [("Retry-After", str(retry_after))]
+    return Response(status, msgspec.json.encode(body) if body is not None else b"{}", headers)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class Server:
+    """Serves one address; at most `limit` connections, the rest are answered 503."""
+
+    def __init__(self, handler: Handler, limit: int) -> None:
+        self._handler = handler
+        self._limit = limit
+        self._open = 0
+        self._server: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        host, port = split_address(address)
+        self._server = await asyncio.start_server(self._connection, host, port, backlog=512)
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._open += 1
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=c.MAX_HEADER_B)
+        try:
+            if self._open > self._limit:
+                await _send(conn, writer, answer(503, retry_after=c.RETRY_AFTER_S), close=True)
+                return
+            while await self._cycle(conn, reader, writer):
+                conn.start_next_cycle()
+        except (OSError, TimeoutError, h11.LocalProtocolError):
+            pass
+        finally:
+            self._open -= 1
+            with contextlib.suppress(OSError):
+                writer.close()
+
+    async def _cycle(
+        self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """One request and its answer; False when the connection is to be closed."""
+        try:
+            request = await _read_request(conn, reader)
+        except h11.RemoteProtocolError as error:
+            if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                reply = answer(error.error_status_hint, {"error": str(error)})
+                await _send(conn, writer, reply, close=True)
+            return False
+        if request is None:
+            return False
+        if len(request.body) > c.MAX_BODY_B:
+            await _send(conn, writer, answer(413, {"error": "body over 64 KiB"}), close=True)
+            return False
+        try:
+            response = await self._handler(request)
+        except Exception:  # a request's failure must not end the connection or the node
+            log.exception("request %s %s failed", request.method, request.path)
+            response = answer(503, {"error": "internal"}, c.RETRY_AFTER_S)
+        await _send(conn, writer, response, close=False)
+        return conn.our_state is h11.DONE and conn.their_state is h11.DONE
+
+
+async def _read_request(conn: h11.Connection, reader: asyncio.StreamReader) -> Request | None:
+    head: h11.Request | None = None
+    body = bytearray()
+    timeout = c.IDLE_CONNECTION_S
+    while True:
+        event = conn.next_event()
+        if event is h11.NEED_DATA:
+            async with asyncio.timeout(timeout):
+                conn.receive_data(await reader.read(c.READ_CHUNK_B))
+            timeout = c.REQUEST_READ_S
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > c.MAX_BODY_B:
+                return Request("", "", bytes(body))
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return Request(head.method.decode(), head.target.decode("latin-1"), bytes(body))
+        else:
+            return None
+
+
+async def _send(
+    conn: h11.Connection, writer: asyncio.StreamWriter, response: Response, close: bool
+) -> None:
+    headers = [
+        ("Content-Type", response.content_type),
+        ("Content-Length", str(len(response.body))),
+        *response.headers,
+    ]
+    if close:
+        headers.append(("Connection", "close"))
+    data = conn.send(h11.Response(status_code=response.status, headers=headers)) or b""
+    data += conn.send(h11.Data(data=response.body)) or b""
+    data += conn.send(h11.EndOfMessage()) or b""
+    if response.written is not None:
+        response.written()
+    writer.write(data)
+    await writer.drain()
+
+
+@dataclass(slots=True)
+class _Pooled:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    conn: h11.Connection
+    used: float
+
+
+class Client:
+    """Requests to one address over kept connections, one request in flight on each."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self.address = address
+        self._clock = clock
+        self._idle: list[_Pooled] = []
+
+    def close(self) -> None:
+        for pooled in self._idle:
+            pooled.writer.close()
+        self._idle.clear()
+
+    def drop_stale(self) -> None:
+        now = self._clock.now()
+        keep = [p for p in self._idle if now - p.used < c.CLIENT_IDLE_S]
+        for pooled in self._idle:
+            if now - pooled.used >= c.CLIENT_IDLE_S:
+                pooled.writer.close()
+        self._idle = keep
+
+    async def request(
+        self, method: str, path: str, body: object = None, timeout: float = 5.0
+    ) -> tuple[int, bytes]:
+        payload = b"" if body is None else msgspec.json.encode(body)
+        sent = False
+        pooled: _Pooled | None = None
+        try:
+            async with asyncio.timeout(timeout):
+                self.drop_stale()
+                pooled = self._idle.pop() if self._idle else await self._connect()
+                sent = True
+                status, reply = await self._exchange(pooled, method, path, payload)
+        except (OSError, TimeoutError, h11.ProtocolError, EOFError) as error:
+            if pooled is not None:
+                pooled.writer.close()
+            reason = type(error).__name__
+            raise NoAnswer(f"{method} {path}: {reason}", sent) from error
+        except asyncio.CancelledError:
+            if pooled is not None:
+                pooled.writer.close()
+            raise
+        self._keep(pooled)
+        return status, reply
+
+    async def _connect(self) -> _Pooled:
+        host, port = split_address(self.address)
+        reader, writer = await asyncio.open_connection(host, port)
+        return _Pooled(reader, writer, h11.Connection(h11.CLIENT), self._clock.now())
+
+    def _keep(self, pooled: _Pooled) -> None:
+        conn = pooled.conn
+        if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
+            conn.start_next_cycle()
+            pooled.used = self._clock.now()
+            self._idle.append(pooled)
+        else:
+            pooled.writer.close()
+
+    async def _exchange(
+        self, pooled: _Pooled, method: str, path: str, payload: bytes
+    ) -> tuple[int, bytes]:
+        conn = pooled.conn
+        headers = [("Host", self.address), ("Content-Length", str(len(payload)))]
+        if payload:
+            headers.append(("Content-Type", "application/json"))
+        data = conn.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        if payload:
+            data += conn.send(h11.Data(data=payload)) or b""
+        data += conn.send(h11.EndOfMessage()) or b""
+        pooled.writer.write(data)
+        await pooled.writer.drain()
+        status = 0
+        reply = bytearray()
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(await pooled.reader.read(c.READ_CHUNK_B))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                reply += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return status, bytes(reply)
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError("closed before the answer was complete")
--- /dev/null
+++ b/pulleydeal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""View, epoch, siblings: who is a member, and who owns what."""
--- /dev/null
+++ b/pulleydeal/membership/messages.py
@@ -0,0 +1,46 @@
+"""Heartbeats between controllers: how I stand, and the credit totals I publish."""
+
+from dataclasses import dataclass, field
+
+from pulleydeal.frames import Packer, Unpacker
+
+HELLO, BEAT, ASK, HOLD, FREE = range(1, 6)  # every message type spoken on `back`
+
+
+@dataclass(slots=True)
+class Total:
+    """Published credit of one kind of machine at one owner."""
+
+    type: str
+    zone: str
+    spot: bool
+    cpus: float = 0.0
+    gpus: float = 0.0
+    memory: float = 0.0
+    largest_cpus: float = 0.0
+    largest_gpus: float = 0.0
+
+
+@dataclass(slots=True)
+class Beat:
+    epoch: int
+    totals: list[Total] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)  # over, with tasks not proved gone
+
+
+def pack_beat(beat: Beat) -> bytes:
+    packer = Packer().u64(beat.epoch).u16(len(beat.totals))
+    for t in beat.totals:
+        packer.text(t.type).text(t.zone).u8(t.spot)
+        packer.f64(t.cpus).f64(t.gpus).f64(t.memory).f64(t.largest_cpus).f64(t.largest_gpus)
+    return packer.texts(beat.cancelled).bytes()
+
+
+def unpack_beat(data: bytes) -> Beat:
+    u = Unpacker(data)
+    epoch = u.u64()
+    totals = [
+        Total(u.text(), u.text(), bool(u.u8()), u.f64(), u.f64(), u.f64(), u.f64(), u.f64())
+        for _ in range(u.u16())
+    ]
+    return Beat(epoch, totals, u.texts())
--- /dev/null
+++ b/pulleydeal/membership/service.py
@@ -0,0 +1,176 @@
+"""Joins the view, keeps the lease, removes dead members and records cuts."""
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.membership import view as decide
+from pulleydeal.membership.messages import BEAT, Beat, Total, pack_beat, unpack_beat
+from pulleydeal.membership.siblings import Siblings
+from pulleydeal.settings import Settings
+from pulleydeal.store import records as r
+from pulleydeal.store.client import LeaseLost
+from pulleydeal.store.replica import Replica
+from pulleydeal.store.service import Store
+
+log = logging.getLogger("pulleydeal.membership")
+
+
+class Membership:
+    def __init__(self, settings: Settings, store: Store, siblings: Siblings, clock: Clock) -> None:
+        self.me = settings.node_name
+        self._settings = settings
+        self._store = store
+        self._replica: Replica = store.replica
+        self._siblings = siblings
+        self._clock = clock
+        self.incarnation = uuid.uuid4().hex[:12]
+        self._lease: int | None = None
+        self._renewed_at = -1e9
+        self._beats: dict[str, tuple[float, Beat]] = {}
+        self.totals: Callable[[], list[Total]] = list
+        siblings.on(BEAT, self._on_beat)
+
+    # --- what the others ask --------------------------------------------------------------
+    @property
+    def view(self) -> r.View:
+        return self._replica.view
+
+    @property
+    def epoch(self) -> int:
+        return self._replica.view.epoch
+
+    @property
+    def is_member(self) -> bool:
+        return self.view.members.get(self.me) == self.incarnation
+
+    def owner(self, machine: str, zone: str) -> str:
+        return decide.owner(self.view, machine, zone)
+
+    def owns(self, machine: str, zone: str) -> bool:
+        return self.is_member and self.owner(machine, zone) == self.me
+
+    def leads_job(self, spec: r.JobSpec) -> bool:
+        """A limited team's jobs have one leader, which so holds the team's whole allowance."""
+        team = self._settings.teams.get(spec.team)
+        limited = team is not None and (team.cpus_max > 0 or team.gpus_max > 0)
+        return self._leads(f"team {spec.team}" if limited else f"job {spec.id}")
+
+    def leads_fleet(self) -> bool:
+        return self._leads("fleet")
+
+    def _leads(self, thing: str) -> bool:
+        return self.is_member and decide.pick(list(self.view.members), thing) == self.me
+
+    def parts(self) -> dict[str, list[Total]]:
+        """The parts that can be asked now, with the credit each one published."""
+        now = self._clock.now()
+        known = {
+            name: beat.totals
+            for name, (at, beat) in self._beats.items()
+            if name in self.view.members and now - at < c.CUT_AFTER_S
+        }
+        if self.is_member:
+            known[self.me] = self.totals()
+        return known
+
+    def relayed_cancels(self) -> set[str]:
+        return {job for _, beat in self._beats.values() for job in beat.cancelled}
+
+    def vouched(self) -> bool:
+        """Every other member was just heard, in this same epoch."""
+        now = self._clock.now()
+        return all(
+            name in self._beats
+            and now - self._beats[name][0] < c.CUT_AFTER_S
+            and self._beats[name][1].epoch == self.epoch
+            for name in self.view.members
+            if name != self.me
+        )
+
+    # --- loops ----------------------------------------------------------------------------
+    async def keep(self) -> None:
+        """One round of keeping the membership; run for ever."""
+        if not self._replica.loaded:
+            await asyncio.sleep(0.02)
+            return
+        alive = self._replica.members.get(self.me) == self.incarnation
+        if not self.is_member or not alive or self._lease is None:
+            await self._join()
+        elif self._clock.now() - self._renewed_at >= c.MEMBER_RENEW_S:
+            await self._renew()
+        else:
+            await asyncio.sleep(0.1)
+
+    async def _join(self) -> None:
+        if self._lease is None:
+            self._lease = await self._store.client.grant(c.MEMBER_TTL_MS)
+        view = self.view
+        if view.members.get(self.me) not in (None, self.incarnation):
+            log.info("replaces an earlier start of this node")
+        member = r.member_key(self.me)
+        puts: dict[str, object] = {member: r.Member(self.incarnation)}
+        if not self.is_member:
+            puts[r.VIEW] = decide.joined(view, self.me, self.incarnation)
+        try:
+            ok = await self._store.commit(
+                {r.VIEW: self._replica.view_version}, puts, lease={member: self._lease}
+            )
+        except LeaseLost:
+            self._lease = None
+            return
+        if ok:
+            self._renewed_at = self._clock.now()
+            log.info("member in epoch %d: %s", self.epoch, sorted(self.view.members))
+
+    async def _renew(self) -> None:
+        assert self._lease is not None
+        sent_at = self._clock.now()
+        try:
+            await self._store.client.renew(self._lease)
+            self._renewed_at = sent_at
+        except LeaseLost:
+            log.info("member lease lost")
+            self._lease = None
+
+    async def tend(self) -> None:
+        """One round of removing dead members and recording cuts; run for ever."""
+        await asyncio.sleep(0.1)
+        if not self.is_member:
+            return
+        gone = [m for m in decide.dead(self.view, self._replica.members) if m != self.me]
+        conditions = {r.VIEW: self._replica.view_version}
+        if gone:
+            # Conditional on the lease key's absence too: a member that came back stays.
+            vanished = [m for m in gone if m not in self._replica.members]
+            conditions |= {r.member_key(m): 0 for m in vanished}
+            if vanished and await self._store.commit(
+                conditions, {r.VIEW: decide.without(self.view, vanished)}
+            ):
+                log.info("epoch %d: without %s, whose lease ended", self.epoch, vanished)
+            return
+        zones = {m: self._settings.zone_of(m) for m in self.view.members}
+        changed = decide.with_cuts(
+            self.view, self.me, zones, self._siblings.heard_s(), self._siblings.steady_s()
+        )
+        if changed is not None and await self._store.commit(conditions, {r.VIEW: changed}):
+            log.info("epoch %d: cut pairs now %s", self.epoch, self.view.cut)
+
+    async def beat(self) -> None:
+        self.send_beat()
+        await asyncio.sleep(c.BEAT_S)
+
+    def send_beat(self) -> None:
+        cancelled = [
+            job.id
+            for job in map(self._replica.jobs.__getitem__, self._replica.open_jobs)
+            if job.record is not None and job.record.status == "cancelled"
+        ]
+        totals = self.totals() if self.is_member else []
+        self._siblings.broadcast(BEAT, pack_beat(Beat(self.epoch, totals, cancelled[:500])))
+
+    def _on_beat(self, sender: str, payload: bytes) -> None:
+        self._beats[sender] = (self._clock.now(), unpack_beat(payload))
--- /dev/null
+++ b/pulleydeal/membership/view.py
@@ -0,0 +1,69 @@
+"""Plain decisions about the view: who owns and leads what, and how the view changes next."""
+
+import hashlib
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.store.records import View
+
+
+def _weight(member: str, thing: str) -> bytes:
+    return hashlib.blake2b(f"{member}\0{thing}".encode(), digest_size=8).digest()
+
+
+def pick(members: list[str], thing: str) -> str:
+    """Rendezvous hashing: a change of members moves only what the changed ones held."""
+    return max(members, key=lambda member: (_weight(member, thing), member), default="")
+
+
+def owner(view: View, machine: str, zone: str) -> str:
+    """The member that owns a machine: the heaviest of those that can reach its zone."""
+    reaching = [m for m in view.members if (m, zone) not in view.cut]
+    return pick(reaching or list(view.members), machine)
+
+
+def token(epoch: int, fence: int) -> int:
+    return (epoch << c.EPOCH_SHIFT) | fence
+
+
+def joined(view: View, member: str, incarnation: str) -> View:
+    members = {**view.members, member: incarnation}
+    cut = [pair for pair in view.cut if pair[0] != member]
+    return View(view.epoch + 1, members, cut)
+
+
+def without(view: View, gone: list[str]) -> View:
+    members = {m: i for m, i in view.members.items() if m not in gone}
+    return View(view.epoch + 1, members, [pair for pair in view.cut if pair[0] in members])
+
+
+def dead(view: View, alive: dict[str, str]) -> list[str]:
+    """Members whose lease key is gone, or belongs to a later start of theirs."""
+    return [m for m, incarnation in view.members.items() if alive.get(m) != incarnation]
+
+
+def with_cuts(
+    view: View,
+    me: str,
+    zones: dict[str, str],
+    heard_s: dict[str, float],
+    steady_s: dict[str, float],
+) -> View | None:
+    """The view with the cuts that `me` sees, or None when nothing changes.
+
+    `heard_s`: seconds since each sibling was heard; `steady_s`: for how long it has now been
+    heard without a break. A single lost beat changes nothing, and a flapping link stays cut.
+    """
+    cut = set(view.cut)
+    for sibling in view.members:
+        if sibling == me or zones[sibling] == zones[me]:
+            continue
+        pairs = {(me, zones[sibling]), (sibling, zones[me])}
+        if heard_s.get(sibling, 0.0) > c.CUT_AFTER_S:
+            cut |= pairs
+        elif steady_s.get(sibling, 0.0) > c.HEAL_AFTER_S:
+            cut -= pairs
+    if cut == set(view.cut):
+        return None
+    return msgspec.structs.replace(view, epoch=view.epoch + 1, cut=sorted(cut))
--- /dev/null
+++ b/pulleydeal/metrics.py
@@ -0,0 +1,60 @@
+"""Measures, in the usual text format. Few, cheap, and named by the conventions."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+
+class Metrics:
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        registry = self.registry
+        self.starts = Counter("pulleydeal_task_starts", "Run commands given", registry=registry)
+        self.stops = Counter(
+            "pulleydeal_task_ends",
+            "Attempts that ended, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+        self.refusals = Counter(
+            "pulleydeal_submissions_refused",
+            "Submissions not taken, by status",
+            ["status"],
+            registry=registry,
+        )
+        self.accepted = Counter(
+            "pulleydeal_submissions_accepted", "Submissions accepted", registry=registry
+        )
+        self.epoch = Gauge("pulleydeal_view_epoch", "Epoch of the view", registry=registry)
+        self.credits = Gauge(
+            "pulleydeal_credit_queue_machines", "Credits queued at this node", registry=registry
+        )
+        self.asks = Gauge(
+            "pulleydeal_asks_waiting", "Tasks that wait for credit here", registry=registry
+        )
+        self.waiting = Gauge(
+            "pulleydeal_tasks_waiting",
+            "Waiting tasks led here, by reason",
+            ["reason"],
+            registry=registry,
+        )
+        self.store_requests = Gauge(
+            "pulleydeal_state_requests", "Requests sent to the state service", registry=registry
+        )
+        self.store_refusals = Gauge(
+            "pulleydeal_state_refusals",
+            "Requests that the state service refused",
+            registry=registry,
+        )
+        self.checkin_age = Gauge(
+            "pulleydeal_checkin_age_max_seconds",
+            "Age of the oldest machine's report",
+            registry=registry,
+        )
+        self.start_wait = Histogram(
+            "pulleydeal_start_wait_seconds",
+            "From acceptance of a job to the binding of a task",
+            buckets=(0.5, 1, 2, 5, 10, 20, 40, 80, 160, 320),
+            registry=registry,
+        )
+
+    def text(self) -> bytes:
+        return generate_latest(self.registry)
--- /dev/null
+++ b/pulleydeal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Binding, gangs, spread, quota: the leader of a job decides what may start."""
--- /dev/null
+++ b/pulleydeal/placement/rules.py
@@ -0,0 +1,69 @@
+"""What PROTOCOL allows: zones, limits, guarantees. Plain functions over the replica."""
+
+from collections import Counter
+
+from pulleydeal import constants as c
+from pulleydeal.settings import Team
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Job
+
+Amount = tuple[float, float]  # cpus, gpus
+TINY = 1e-6
+
+
+def spread_limit(tasks: int) -> int:
+    return (tasks + 1) // 2
+
+
+def zones_used(machines: list[str], zone_of: dict[str, str]) -> Counter[str]:
+    """Where a job's tasks are, counting everything not proved gone."""
+    return Counter(zone_of.get(machine, "?") for machine in machines)
+
+
+def zones_allowed(spec: r.JobSpec, used: Counter[str], zones: list[str]) -> list[str]:
+    options = [spec.zone] if spec.zone else list(zones)
+    if spec.one_zone and used:
+        options = [z for z in options if used[z] == used.total()]
+    if spec.spread:
+        limit = spread_limit(spec.tasks)
+        options = [z for z in options if used[z] < limit]
+        options.sort(key=lambda z: used[z])
+    return options
+
+
+def add(a: Amount, b: Amount) -> Amount:
+    return (a[0] + b[0], a[1] + b[1])
+
+
+def within_limit(team: Team, used: Amount) -> bool:
+    return (team.cpus_max == 0 or used[0] <= team.cpus_max + TINY) and (
+        team.gpus_max == 0 or used[1] <= team.gpus_max + TINY
+    )
+
+
+def within_guarantee(team: Team, used: Amount) -> bool:
+    if team.cpus == 0 and team.gpus == 0:
+        return False
+    return (team.cpus == 0 or used[0] <= team.cpus + TINY) and (
+        team.gpus == 0 or used[1] <= team.gpus + TINY
+    )
+
+
+def guaranteed_jobs(jobs: list[Job], teams: dict[str, Team]) -> set[str]:
+    """Jobs that fit into their team's guarantee with the team's earlier unfinished ones."""
+    used: dict[str, Amount] = {}
+    inside = set()
+    for job in sorted(jobs, key=lambda j: (j.record.at if j.record else 0.0, j.id)):
+        spec = job.spec
+        if spec is None or spec.team not in teams:
+            continue
+        whole = (spec.cpus * spec.tasks, spec.gpus * spec.tasks)
+        after = add(used.get(spec.team, (0.0, 0.0)), whole)
+        used[spec.team] = after
+        if within_guarantee(teams[spec.team], after):
+            inside.add(job.id)
+    return inside
+
+
+def error_backoff_s(fails: int) -> float:
+    return min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2.0 ** min(fails - 1, 10))
--- /dev/null
+++ b/pulleydeal/settings.py
@@ -0,0 +1,104 @@
+"""The platform's settings file: typed, bounded, unknown fields ignored."""
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+Positive = Annotated[float, Meta(gt=0)]
+NonNegative = Annotated[float, Meta(ge=0)]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+
+
+class SettingsError(Exception):
+    """The settings can't be used; the text names the field."""
+
+
+class Sibling(Struct):
+    node_name: Name
+    zone: Name
+    endpoint: Address
+
+
+class Endpoints(Struct):
+    cloud: Address
+    state: Address
+
+
+class Team(Struct):
+    name: Name
+    cpus: NonNegative = 0.0
+    cpus_max: NonNegative = 0.0
+    gpus: NonNegative = 0.0
+    gpus_max: NonNegative = 0.0
+
+
+class WorkerTimes(Struct):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class StateLimits(Struct):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4)]
+
+
+class CloudLimits(Struct):
+    rps: Positive
+    list_lag_s: NonNegative
+
+
+class MachineLimits(Struct):
+    max_sockets: Annotated[int, Meta(ge=32)] = 512
+
+
+class Deployment(Struct):
+    zones: Annotated[list[Name], Meta(min_length=1)]
+    teams: list[Team]
+    workers: WorkerTimes
+    state: StateLimits
+    cloud: CloudLimits
+    machine_limits: MachineLimits = msgspec.field(default_factory=MachineLimits)
+    clock_error_ms: NonNegative = 0.0
+
+
+class Settings(Struct):
+    node_name: Name
+    zone: Name
+    api_addr: Address
+    back: Address
+    endpoints: Endpoints
+    deployment: Deployment
+    siblings: list[Sibling] = []
+
+    @property
+    def teams(self) -> dict[str, Team]:
+        return {team.name: team for team in self.deployment.teams}
+
+    def zone_of(self, member: str) -> str:
+        if member == self.node_name:
+            return self.zone
+        return next((s.zone for s in self.siblings if s.node_name == member), "")
+
+
+def split_address(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def load(path: Path) -> Settings:
+    try:
+        raw = path.read_bytes()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    try:
+        return msgspec.json.decode(raw, type=Settings, strict=False)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
--- /dev/null
+++ b/pulleydeal/store/__init__.py
@@ -0,0 +1,1 @@
+"""State client, batching committer, watched replica."""
--- /dev/null
+++ b/pulleydeal/store/client.py
@@ -0,0 +1,142 @@
+"""The state service, spoken to by its protocol. Knows no keys; retries nothing by itself."""
+
+import asyncio
+from typing import Any
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.http import Client, NoAnswer
+from pulleydeal.store import messages as m
+from pulleydeal.store.records import NOTHING
+
+
+class Unavailable(Exception):
+    """429, 503 or another refusal: the request was not executed."""
+
+
+class Unknown(Exception):
+    """No answer: the request may have been executed, or may yet be."""
+
+
+class LeaseLost(Exception):
+    """The lease is over."""
+
+
+class TooOld(Exception):
+    """The watch can't continue from there; everything must be read again."""
+
+
+class Rate:
+    """A token bucket for one kind of budget; urgent callers may overdraw a little."""
+
+    def __init__(self, per_s: float, clock: Clock) -> None:
+        self._per_s = per_s
+        self._clock = clock
+        self._have = per_s
+        self._at = clock.now()
+
+    def take(self, amount: float, urgent: bool) -> float:
+        """Takes `amount` and returns 0, or takes nothing and returns how long to wait."""
+        now = self._clock.now()
+        self._have = min(self._per_s, self._have + (now - self._at) * self._per_s)
+        self._at = now
+        floor = -self._per_s / 2 if urgent else 0.0
+        if self._have - amount >= floor or self._have >= self._per_s:
+            self._have -= amount
+            return 0.0
+        return max(0.005, (floor + amount - self._have) / self._per_s)
+
+
+class StateClient:
+    def __init__(
+        self, address: str, clock: Clock, rps: float, write_rps: float, nodes: int
+    ) -> None:
+        self._clock = clock
+        self._http = Client(address, clock)
+        self._requests = Rate(rps / nodes, clock)
+        self._writes = Rate(write_rps * c.WRITE_SHARE / nodes, clock)
+        self.fresh_at = -1e9  # when the last answered request was sent
+        self.failing_since: float | None = None
+        self.requests = 0
+        self.refusals = 0
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        timeout: float = c.STATE_TIMEOUT_S,
+        urgent: bool = True,
+    ) -> tuple[int, bytes]:
+        while (pause := self._requests.take(1, urgent)) > 0:
+            await asyncio.sleep(pause)
+        sent_at = self._clock.now()
+        self.requests += 1
+        try:
+            status, reply = await self._http.request(method, path, body, timeout)
+        except NoAnswer as error:
+            self._failed()
+            if error.sent:
+                raise Unknown(str(error)) from error
+            raise Unavailable(str(error)) from error
+        if status in (429, 503) or status >= 500:
+            if status != 429:
+                self._failed()
+            self.refusals += 1
+            raise Unavailable(f"{method} {path}: {status}")
+        self.fresh_at = max(self.fresh_at, sent_at)
+        self.failing_since = None
+        return status, reply
+
+    def _failed(self) -> None:
+        if self.failing_since is None:
+            self.failing_since = self._clock.now()
+
+    async def revision(self) -> int:
+        _, reply = await self._call("GET", f"/store/{NOTHING}")
+        return m.REVISION.decode(reply).revision
+
+    async def page(self, prefix: str, after: str | None) -> m.Page:
+        path = f"/store?under={prefix}&limit={c.PAGE_LIMIT}"
+        if after is not None:
+            path += f"&after={after}"
+        status, reply = await self._call("GET", path)
+        if status != 200:
+            raise Unavailable(f"GET {path}: {status}")
+        return m.PAGE.decode(reply)
+
+    async def watch(self, prefix: str, after: int) -> m.Changes:
+        path = f"/watch?under={prefix}&after={after}&hold_ms={c.WATCH_HOLD_MS}"
+        timeout = c.WATCH_HOLD_MS / 1000 + c.WATCH_SLACK_S
+        status, reply = await self._call("GET", path, timeout=timeout)
+        if status == 410:
+            raise TooOld
+        if status != 200:
+            raise Unavailable(f"GET {path}: {status}")
+        return m.CHANGES.decode(reply)
+
+    async def commit(
+        self, conditions: dict[str, int], changes: list[dict[str, Any]], urgent: bool
+    ) -> tuple[bool, m.Revision]:
+        while (pause := self._writes.take(len(changes), urgent)) > 0:
+            await asyncio.sleep(pause)
+        body = m.transaction(conditions, changes)
+        status, reply = await self._call("POST", "/commit", body, urgent=urgent)
+        if status in (200, 409):
+            return status == 200, m.REVISION.decode(reply)
+        if status == 400 and b"lease" in reply:
+            raise LeaseLost
+        raise Unavailable(f"POST /commit: {status} {reply[:200]!r}")
+
+    async def grant(self, ttl_ms: int) -> int:
+        status, reply = await self._call("POST", "/holds", {"ttl_ms": ttl_ms})
+        if status != 200:
+            raise Unavailable(f"POST /holds: {status}")
+        return m.GRANTED.decode(reply).lease
+
+    async def renew(self, lease: int) -> None:
+        status, _ = await self._call("POST", f"/holds/{lease}/renew", {})
+        if status == 404:
+            raise LeaseLost
+        if status != 200:
+            raise Unavailable(f"renew: {status}")
--- /dev/null
+++ b/pulleydeal/store/draft.py
@@ -0,0 +1,89 @@
+"""A job record in the making: copy, change, and the transaction that writes the difference."""
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Job, Replica
+
+
+class Draft:
+    def __init__(self, job: Job, replica: Replica, txn_ops: int) -> None:
+        assert job.record is not None and job.record.spec is not None
+        self.job = job
+        self.replica = replica
+        self.spec = job.record.spec
+        self.status: r.Status = job.record.status
+        self.conditions = {
+            r.VIEW: replica.view_version,
+            r.job_key(job.id): job.version,
+        }
+        self.puts: dict[str, object] = {}
+        self.deletes: list[str] = []
+        self._chunks: dict[int, list[r.Task]] = {}
+        # Room is kept for the job's own record and for its chunks' removal at the end.
+        self._most_chunks = txn_ops - 1
+
+    def task(self, index: int) -> r.Task:
+        """The task as it stands in this draft, read only."""
+        k, offset = divmod(index, c.CHUNK_TASKS)
+        if k in self._chunks:
+            return self._chunks[k][offset]
+        return self.job.task(index)
+
+    def edit(self, index: int) -> r.Task | None:
+        """The task to change, or None when the transaction has no room for its chunk."""
+        k, offset = divmod(index, c.CHUNK_TASKS)
+        if k not in self._chunks:
+            if len(self._chunks) >= self._most_chunks:
+                return None
+            old = self.job.chunks.get(k)
+            if old is None:
+                size = min(c.CHUNK_TASKS, self.spec.tasks - k * c.CHUNK_TASKS)
+                self._chunks[k] = [r.Task() for _ in range(size)]
+            else:
+                self._chunks[k] = [msgspec.structs.replace(task) for task in old.tasks]
+            self.conditions[r.chunk_key(self.job.id, k)] = old.version if old else 0
+        return self._chunks[k][offset]
+
+    def require_machine(self, machine: str) -> bool:
+        """The commit holds only while the machine's record stays as it is now."""
+        record = self.replica.machines.get(machine)
+        if record is None or record.record.state != "up":
+            return False
+        key = r.machine_key(machine)
+        if key not in self.conditions and len(self.conditions) >= c.CONDITIONS_PER_OP * 4:
+            return False
+        self.conditions[key] = record.version
+        return True
+
+    def touch(self) -> None:
+        """Writes the job's record even if it did not change, so that its mark moves."""
+        self.puts.setdefault(r.job_key(self.job.id), self.job.record)
+
+    def finish(self) -> None:
+        """Works out the job's end and what has to be written."""
+        done, bound = self.job.done, self.job.bound
+        for k, tasks in self._chunks.items():
+            old = self.job.chunks.get(k)
+            before = old.tasks if old else []
+            if tasks == before or (not before and all(t == r.Task() for t in tasks)):
+                continue
+            self.puts[r.chunk_key(self.job.id, k)] = tasks
+            done += sum(t.done for t in tasks) - sum(t.done for t in before)
+            bound += sum(bool(t.machine) for t in tasks) - sum(bool(t.machine) for t in before)
+        record = self.job.record
+        assert record is not None
+        if self.status == "open" and done == self.spec.tasks:
+            self.status = "done"
+        over = self.status != "open" and bound == 0
+        if over and len(self.job.chunks) < self._most_chunks:
+            # Over and all gone: one slim record stays, so that its end is never forgotten.
+            self.puts = {}
+            self.deletes = [r.chunk_key(self.job.id, k) for k in self.job.chunks]
+            slim = r.JobRecord(self.status, record.tasks, record.at)
+            self.puts[r.job_key(self.job.id)] = slim
+        elif self.status != record.status:
+            self.puts[r.job_key(self.job.id)] = r.JobRecord(
+                self.status, record.tasks, record.at, self.spec
+            )
--- /dev/null
+++ b/pulleydeal/store/records.py
@@ -0,0 +1,138 @@
+"""What the service keeps in the state service, in its own (standard) words.
+
+Keys, all under one prefix so that one watch sees every change:
+  p/view          the view: epoch, members, cut pairs
+  p/n/<member>    a member's incarnation, attached to its lease
+  p/j/<job>       a job: description and status; slim once it is over
+  p/c/<job>/<k>   tasks 64k..64k+63 of a job (absent: all wait for their first start)
+  p/m/<machine>   a machine
+  p/r/<request>   a rental that may have been asked for and not yet been recorded
+  p/catalog       the machine types, so that a node can start while the cloud is down
+"""
+
+from typing import Literal
+
+import msgspec
+from msgspec import Struct
+
+PREFIX = "p/"
+VIEW = "p/view"
+CATALOG = "p/catalog"
+NOTHING = "p-nothing"  # never written: reading it tells the revision and nothing else
+
+Status = Literal["open", "done", "cancelled"]
+MachineState = Literal["boot", "up", "drain", "gone"]
+PRIORITIES = ("low", "normal", "high", "production")
+
+
+class JobSpec(Struct, frozen=True, omit_defaults=True):
+    id: str
+    klass: str
+    team: str
+    kind: Literal["array", "gang", "service"]
+    priority: int  # index into PRIORITIES
+    tasks: int
+    cpus: float
+    gpus: float
+    memory: float
+    image: str
+    image_gb: float
+    types: list[str] | None = None
+    zone: str | None = None
+    one_zone: bool = False
+    spread: bool = False
+    spot: bool = False
+    estimate_s: float = 0.0
+    checkpoint_s: float = 0.0
+    save_s: float = 0.0
+    deadline_s: float | None = None
+
+
+class JobRecord(Struct, omit_defaults=True):
+    status: Status
+    tasks: int
+    at: float = 0.0  # wall clock of acceptance
+    spec: JobSpec | None = None  # None once the job is over and all its tasks are gone
+
+
+class Task(Struct, array_like=True, omit_defaults=True):
+    machine: str = ""  # bound to it and not proved gone; empty: waits (or is done)
+    attempt: int = 0
+    done: bool = False
+    fails: int = 0
+    why: str = ""  # why the last attempt ended
+    stop: str = ""  # why this attempt is to be stopped; every owner acts on it
+
+
+class Member(Struct):
+    incarnation: str
+
+
+class View(Struct):
+    epoch: int = 0
+    members: dict[str, str] = {}  # name -> incarnation
+    cut: list[tuple[str, str]] = []  # (member, zone) pairs that can't reach each other
+
+
+class MachineRecord(Struct, omit_defaults=True):
+    state: MachineState
+    type: str
+    zone: str
+    spot: bool
+    addr: str = ""
+    at: float = 0.0  # wall clock: rented (boot), adopted (up), marked (drain, gone)
+    why: str = ""
+
+
+class RentalRecord(Struct):
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    at: float
+
+
+class MachineType(Struct):
+    name: str
+    cpus: float
+    gpus: float
+    memory: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot_s: float
+    zones: list[str]
+
+
+class Catalog(Struct):
+    types: list[MachineType] = []
+
+
+def job_key(job: str) -> str:
+    return f"p/j/{job}"
+
+
+def chunk_key(job: str, index: int) -> str:
+    return f"p/c/{job}/{index:04x}"
+
+
+def machine_key(machine: str) -> str:
+    return f"p/m/{machine}"
+
+
+def rental_key(request: str) -> str:
+    return f"p/r/{request}"
+
+
+def member_key(member: str) -> str:
+    return f"p/n/{member}"
+
+
+CHUNK = msgspec.json.Decoder(list[Task])
+JOB = msgspec.json.Decoder(JobRecord)
+MACHINE = msgspec.json.Decoder(MachineRecord)
+RENTAL = msgspec.json.Decoder(RentalRecord)
+VIEW_DECODER = msgspec.json.Decoder(View)
+MEMBER = msgspec.json.Decoder(Member)
+CATALOG_DECODER = msgspec.json.Decoder(Catalog)
--- /dev/null
+++ b/pulleydeal/store/replica.py
@@ -0,0 +1,273 @@
+"""A watched copy of everything the state service holds for us, with the indexes we need."""
+
+import asyncio
+import logging
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from pulleydeal import constants as c
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+
+log = logging.getLogger("pulleydeal.store")
+TaskId = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Chunk:
+    version: int
+    tasks: list[r.Task]
+
+
+@dataclass(slots=True)
+class Job:
+    id: str
+    version: int = 0
+    record: r.JobRecord | None = None
+    chunks: dict[int, Chunk] = field(default_factory=dict)
+    done: int = 0  # tasks done
+    bound: int = 0  # tasks on a machine, or not proved gone from it
+
+    @property
+    def spec(self) -> r.JobSpec | None:
+        return self.record.spec if self.record else None
+
+    @property
+    def is_open(self) -> bool:
+        return self.record is not None and self.record.status == "open"
+
+    def task(self, index: int) -> r.Task:
+        chunk = self.chunks.get(index // c.CHUNK_TASKS)
+        if chunk is None:
+            return r.Task()
+        return chunk.tasks[index % c.CHUNK_TASKS]
+
+    def bindings(self) -> list[tuple[int, r.Task]]:
+        return [
+            (k * c.CHUNK_TASKS + i, task)
+            for k, chunk in self.chunks.items()
+            for i, task in enumerate(chunk.tasks)
+            if task.machine
+        ]
+
+
+@dataclass(slots=True)
+class Machine:
+    id: str
+    version: int
+    record: r.MachineRecord
+
+
+@dataclass(slots=True)
+class Rental:
+    id: str
+    version: int
+    record: r.RentalRecord
+
+
+Listener = Callable[[str, str], None]  # (kind, id): view, member, job, machine, rental, catalog
+
+
+class Replica:
+    """Reads are plain attribute access on the event loop; changes happen under the lock."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._listeners: list[Listener] = []
+        self._waiting: list[tuple[int, asyncio.Future[None]]] = []
+        self._clear()
+
+    def _clear(self) -> None:
+        self.revision = 0
+        self.loaded = False
+        self.jobs: dict[str, Job] = {}
+        self.open_jobs: set[str] = set()
+        self.machines: dict[str, Machine] = {}
+        self.rentals: dict[str, Rental] = {}
+        self.members: dict[str, str] = {}
+        self.view = r.View()
+        self.view_version = 0
+        self.catalog = r.Catalog()
+        self.types: dict[str, r.MachineType] = {}
+        self.bound: dict[str, dict[TaskId, r.Task]] = {}
+        self._versions: dict[str, int] = {}
+        self._deleted: dict[str, int] = {}
+
+    def listen(self, listener: Listener) -> None:
+        self._listeners.append(listener)
+
+    # --- changes ------------------------------------------------------------------------
+    def begin_load(self) -> None:
+        with self._lock:
+            self._clear()
+
+    def load(self, items: list[m.Entry]) -> None:
+        with self._lock:
+            for item in items:
+                self._put(item.key, bytes(item.value), item.version)
+
+    def end_load(self, revision: int) -> None:
+        with self._lock:
+            self.revision = revision
+            self.loaded = True
+        self._notify([("view", ""), ("member", "")])
+        self._release()
+
+    def apply(self, changes: m.Changes) -> None:
+        touched = []
+        with self._lock:
+            for event in changes.events:
+                if event.put is not None:
+                    touched.append(self._put(event.put, bytes(event.value), event.version))
+                elif event.delete is not None:
+                    touched.append(self._delete(event.delete, event.version))
+            self.revision = max(self.revision, changes.revision)
+            passed = [k for k, version in self._deleted.items() if version <= self.revision]
+            for key in passed:
+                del self._deleted[key]
+        self._notify([t for t in touched if t is not None])
+        self._release()
+
+    def committed(self, puts: dict[str, bytes], deletes: list[str], version: int) -> None:
+        """Our own transaction succeeded: show it before the watch brings it."""
+        touched = []
+        with self._lock:
+            for key, value in puts.items():
+                touched.append(self._put(key, value, version))
+            for key in deletes:
+                touched.append(self._delete(key, version))
+        self._notify([t for t in touched if t is not None])
+
+    def _put(self, key: str, value: bytes, version: int) -> tuple[str, str] | None:
+        # Own commits are applied before the watch delivers them, and a page may be newer than
+        # the events after it: an older version never replaces a newer one.
+        # A key we deleted ourselves must not come back while the watch still catches up.
+        if version <= max(self._versions.get(key, 0), self._deleted.get(key, 0)):
+            return None
+        self._versions[key] = version
+        kind, _, rest = key.removeprefix(r.PREFIX).partition("/")
+        if kind == "j":
+            self._set_job(rest, r.JOB.decode(value), version)
+            return "job", rest
+        if kind == "c":
+            job, _, index = rest.partition("/")
+            self._set_chunk(job, int(index, 16), r.CHUNK.decode(value), version)
+            return "job", job
+        if kind == "m":
+            self.machines[rest] = Machine(rest, version, r.MACHINE.decode(value))
+            return "machine", rest
+        if kind == "r":
+            self.rentals[rest] = Rental(rest, version, r.RENTAL.decode(value))
+            return "rental", rest
+        if kind == "n":
+            self.members[rest] = r.MEMBER.decode(value).incarnation
+            return "member", rest
+        if kind == "view":
+            self.view = r.VIEW_DECODER.decode(value)
+            self.view_version = version
+            return "view", ""
+        if kind == "catalog":
+            self.catalog = r.CATALOG_DECODER.decode(value)
+            self.types = {t.name: t for t in self.catalog.types}
+            return "catalog", ""
+        return None
+
+    def _delete(self, key: str, version: int) -> tuple[str, str] | None:
+        if version <= self._versions.get(key, 0):
+            return None
+        self._versions.pop(key, None)
+        self._deleted[key] = version
+        kind, _, rest = key.removeprefix(r.PREFIX).partition("/")
+        if kind == "c":
+            job, _, index = rest.partition("/")
+            self._drop_chunk(job, int(index, 16))
+            return "job", job
+        if kind == "m":
+            self.machines.pop(rest, None)
+            return "machine", rest
+        if kind == "r":
+            self.rentals.pop(rest, None)
+            return "rental", rest
+        if kind == "n":
+            self.members.pop(rest, None)
+            return "member", rest
+        return None
+
+    def _set_job(self, job_id: str, record: r.JobRecord, version: int) -> None:
+        job = self.jobs.setdefault(job_id, Job(job_id))
+        job.version = version
+        job.record = record
+        if record.spec is None:
+            for index in list(job.chunks):
+                self._drop_chunk(job_id, index)
+            self.open_jobs.discard(job_id)
+        else:
+            self.open_jobs.add(job_id)
+
+    def _set_chunk(self, job_id: str, index: int, tasks: list[r.Task], version: int) -> None:
+        job = self.jobs.setdefault(job_id, Job(job_id))
+        self._unindex(job, index)
+        job.chunks[index] = Chunk(version, tasks)
+        for offset, task in enumerate(tasks):
+            job.done += task.done
+            if task.machine:
+                job.bound += 1
+                place = (job_id, index * c.CHUNK_TASKS + offset)
+                self.bound.setdefault(task.machine, {})[place] = task
+
+    def _drop_chunk(self, job_id: str, index: int) -> None:
+        job = self.jobs.get(job_id)
+        if job is not None:
+            self._unindex(job, index)
+            job.chunks.pop(index, None)
+
+    def _unindex(self, job: Job, index: int) -> None:
+        old = job.chunks.get(index)
+        if old is None:
+            return
+        for offset, task in enumerate(old.tasks):
+            job.done -= task.done
+            if task.machine:
+                job.bound -= 1
+                on_machine = self.bound[task.machine]
+                del on_machine[(job.id, index * c.CHUNK_TASKS + offset)]
+                if not on_machine:
+                    del self.bound[task.machine]
+
+    # --- waiting ------------------------------------------------------------------------
+    async def reach(self, revision: int) -> None:
+        """Returns once the copy is at least as new as `revision`."""
+        if self.loaded and self.revision >= revision:
+            return
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append((revision, future))
+        await future
+
+    def _release(self) -> None:
+        still = []
+        for revision, future in self._waiting:
+            if future.done():
+                continue
+            if self.loaded and self.revision >= revision:
+                future.set_result(None)
+            else:
+                still.append((revision, future))
+        self._waiting = still
+
+    def _notify(self, touched: list[tuple[str, str]]) -> None:
+        for kind, name in touched:
+            for listener in self._listeners:
+                listener(kind, name)
+
+    # --- sums ---------------------------------------------------------------------------
+    def usage(self) -> dict[str, tuple[float, float]]:
+        """(cpus, gpus) per team of everything bound, that is, not proved gone."""
+        used: dict[str, tuple[float, float]] = {}
+        for on_machine in self.bound.values():
+            for job_id, _ in on_machine:
+                spec = self.jobs[job_id].spec
+                if spec is not None:
+                    cpus, gpus = used.get(spec.team, (0.0, 0.0))
+                    used[spec.team] = (cpus + spec.cpus, gpus + spec.gpus)
+        return used
--- /dev/null
+++ b/pulleydeal/store/service.py
@@ -0,0 +1,219 @@
+"""Keeps the replica current, proves its freshness, and commits changes in batches per job."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+from pulleydeal.store.client import LeaseLost, StateClient, TooOld, Unavailable, Unknown
+from pulleydeal.store.draft import Draft
+from pulleydeal.store.replica import Replica
+
+log = logging.getLogger("pulleydeal.store")
+Mutator = Callable[[Draft], None]
+
+
+class Backoff:
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._next = c.BACKOFF_MIN_S
+
+    async def pause(self) -> None:
+        await asyncio.sleep(self._next * self._rng.uniform(0.5, 1.0))
+        self._next = min(c.BACKOFF_MAX_S, self._next * 2)
+
+    def reset(self) -> None:
+        self._next = c.BACKOFF_MIN_S
+
+
+class Store:
+    def __init__(
+        self, client: StateClient, replica: Replica, clock: Clock, rng: random.Random, txn_ops: int
+    ) -> None:
+        self.client = client
+        self.replica = replica
+        self._clock = clock
+        self._rng = rng
+        self._txn_ops = txn_ops
+        self.known_at = -1e9  # when the replica was last proved to be current
+        self._barrier: asyncio.Future[int] | None = None
+        self._pending: dict[str, list[tuple[Mutator, bool, asyncio.Future[bool]]]] = {}
+        self._draining: dict[str, asyncio.Task[None]] = {}
+
+    # --- watching -----------------------------------------------------------------------
+    async def follow(self) -> None:
+        """Loads the replica and follows the watch for ever."""
+        backoff = Backoff(self._rng)
+        while True:
+            try:
+                if not self.replica.loaded:
+                    await self._load()
+                started = self._clock.now()
+                changes = await self.client.watch(r.PREFIX, self.replica.revision)
+                self.replica.apply(changes)
+                self.known_at = self._clock.now()
+                backoff.reset()
+                spent = self._clock.now() - started
+                if spent < c.WATCH_SPACING_S:
+                    await asyncio.sleep(c.WATCH_SPACING_S - spent)
+            except TooOld:
+                log.info("watch too far behind: reading everything again")
+                await self._load()
+            except (Unavailable, Unknown) as error:
+                log.debug("watch: %s", error)
+                await backoff.pause()
+
+    async def _load(self) -> None:
+        page = await self.client.page(r.PREFIX, None)
+        # Events after the first page's revision are replayed; versions sort out the overlap.
+        first = page.revision
+        pages = [page]
+        while page.more:
+            page = await self.client.page(r.PREFIX, page.items[-1].key)
+            pages.append(page)
+        self.replica.begin_load()
+        for page in pages:
+            self.replica.load(page.items)
+        self.replica.end_load(first)
+        log.info("replica loaded at revision %d, %d jobs", first, len(self.replica.jobs))
+
+    async def fresh(self) -> None:
+        """Returns once the replica is at least as new as this call; raises Unavailable.
+
+        One read serves all who wait: a caller joins the read that has not started yet.
+        """
+        try:
+            async with asyncio.timeout(c.FRESH_TIMEOUT_S):
+                if self._barrier is None:
+                    self._barrier = asyncio.ensure_future(self._read_revision())
+                revision = await asyncio.shield(self._barrier)
+                await self.replica.reach(revision)
+        except (TimeoutError, Unknown) as error:
+            raise Unavailable("freshness not proved in time") from error
+
+    async def _read_revision(self) -> int:
+        await asyncio.sleep(0.002)  # gather the polls of one moment
+        self._barrier = None  # from here on a new caller needs a new read
+        return await self.client.revision()
+
+    # --- committing ---------------------------------------------------------------------
+    async def commit(
+        self,
+        conditions: dict[str, int],
+        puts: dict[str, object],
+        deletes: list[str] | None = None,
+        lease: dict[str, int] | None = None,
+        urgent: bool = True,
+    ) -> bool:
+        """One transaction. True: done and shown in the replica. False: a condition failed,
+        and the replica is as new as that. Raises Unavailable, Unknown or LeaseLost."""
+        encoded = {key: msgspec.json.encode(value) for key, value in puts.items()}
+        leases = lease or {}
+        changes: list[dict[str, Any]] = [
+            m.put(key, msgspec.Raw(value), leases.get(key)) for key, value in encoded.items()
+        ]
+        changes += [m.delete(key) for key in deletes or []]
+        ok, outcome = await self.client.commit(conditions, changes, urgent)
+        if ok and r.VIEW not in puts:
+            self.replica.committed(encoded, deletes or [], outcome.revision)
+        else:
+            # A new view must not be seen before all that was committed under the old one:
+            # ownership taken with a binding still unseen would kill a running task.
+            async with asyncio.timeout(c.COMMIT_WAIT_S):
+                await self.replica.reach(outcome.revision)
+        return ok
+
+    def change_job(self, job: str, mutate: Mutator, urgent: bool) -> asyncio.Future[bool]:
+        """Queues a change of a job. Changes queued meanwhile go into one transaction.
+
+        The change is a function of the newest record, so it may run several times. The
+        future tells whether the batch was written.
+        """
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._pending.setdefault(job, []).append((mutate, urgent, future))
+        if job not in self._draining:
+            self._draining[job] = asyncio.ensure_future(self._drain(job))
+        return future
+
+    async def _drain(self, job_id: str) -> None:
+        await asyncio.sleep(0)  # let this moment's changes gather
+        try:
+            while batch := self._pending.pop(job_id, []):
+                ok = False
+                try:
+                    ok = await self._write(job_id, batch)
+                except Exception:  # one job's trouble must not stop the committer
+                    log.exception("commit of job %s failed", job_id)
+                for _, _, future in batch:
+                    if not future.done():
+                        future.set_result(ok)
+        finally:
+            self._draining.pop(job_id, None)
+
+    async def _write(
+        self, job_id: str, batch: list[tuple[Mutator, bool, asyncio.Future[bool]]]
+    ) -> bool:
+        backoff = Backoff(self._rng)
+        urgent = any(is_urgent for _, is_urgent, _ in batch)
+        unsure = False
+        for _ in range(c.SCRATCH_TRIES):
+            while True:
+                job = self.replica.jobs.get(job_id)
+                if job is None or job.spec is None:
+                    return False
+                draft = Draft(job, self.replica, self._txn_ops)
+                for mutate, _, _ in batch:
+                    mutate(draft)
+                draft.finish()
+                if unsure:
+                    # An unanswered transaction may still be applied. Quota and zones are
+                    # counted without it, so the job's mark must move for it to fail.
+                    draft.touch()
+                if not draft.puts:
+                    return True
+                try:
+                    ok = await self.commit(
+                        draft.conditions, draft.puts, draft.deletes, urgent=urgent
+                    )
+                    break
+                except (Unavailable, TimeoutError) as error:
+                    log.debug("commit of %s: %s", job_id, error)
+                    await backoff.pause()
+                except Unknown as error:
+                    # The transaction may be applied late: read back first. Whatever happened,
+                    # the marks let at most one of it and its successor through.
+                    log.debug("commit of %s: %s", job_id, error)
+                    unsure = True
+                    await self._read_back(backoff)
+            if ok:
+                return True
+        log.info("job %s: changes given up after %d conflicts", job_id, c.SCRATCH_TRIES)
+        return False
+
+    async def _read_back(self, backoff: Backoff) -> None:
+        while True:
+            try:
+                await self.fresh()
+                return
+            except Unavailable:
+                await backoff.pause()
+
+
+async def forever(name: str, step: Callable[[], Awaitable[None]]) -> None:
+    """Runs a loop's body again and again; a failure is logged and followed by a pause."""
+    while True:
+        try:
+            await step()
+        except (Unavailable, Unknown, LeaseLost, TimeoutError) as error:
+            log.debug("%s: %s", name, error)
+            await asyncio.sleep(c.LOOP_PAUSE_S)
+        except Exception:  # no failure may silently end a loop
+            log.exception("%s failed; goes on after a pause", name)
+            await asyncio.sleep(c.LOOP_PAUSE_S)
--- /dev/null
+++ b/pulleydeal/submissions/__init__.py
@@ -0,0 +1,1 @@
+"""The user API: submissions, their state, cancellation."""
--- /dev/null
+++ b/pulleydeal/submissions/service.py
@@ -0,0 +1,217 @@
+"""Accepts, shows and cancels jobs. Users hear only what is durable and fresh."""
+
+import asyncio
+import logging
+import re
+from collections.abc import Callable, Coroutine
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.credits.messages import Need
+from pulleydeal.credits.queue import Room
+from pulleydeal.http import Request, Response, answer
+from pulleydeal.membership.service import Membership
+from pulleydeal.metrics import Metrics
+from pulleydeal.placement import rules
+from pulleydeal.settings import Team
+from pulleydeal.store import records as r
+from pulleydeal.store.client import Unavailable, Unknown
+from pulleydeal.store.draft import Draft
+from pulleydeal.store.replica import Job
+from pulleydeal.store.service import Store
+from pulleydeal.submissions import messages as m
+
+log = logging.getLogger("pulleydeal.submissions")
+JOB_ID = re.compile(m.JOB_ID)
+
+
+def refusal(
+    spec: r.JobSpec, teams: dict[str, Team], types: dict[str, r.MachineType], zones: list[str]
+) -> str:
+    """Why the job can never run, or nothing."""
+    team = teams.get(spec.team)
+    if team is None:
+        return f"unknown team {spec.team!r}"
+    need = Need(spec.cpus, spec.gpus, spec.memory)
+    usable = [
+        t
+        for t in types.values()
+        if (spec.types is None or t.name in spec.types)
+        and (spec.zone is None or spec.zone in t.zones)
+        and Room(t.cpus, t.gpus, t.memory).fits(need)
+    ]
+    if not usable:
+        return "a task fits no allowed machine type"
+    if spec.zone is not None and spec.zone not in zones:
+        return f"unknown zone {spec.zone!r}"
+    count = 1 if spec.kind == "array" else spec.tasks
+    if not rules.within_limit(team, (spec.cpus * count, spec.gpus * count)):
+        return "needs more than its team's limit"
+    return ""
+
+
+class Submissions:
+    def __init__(
+        self,
+        membership: Membership,
+        store: Store,
+        teams: dict[str, Team],
+        zones: list[str],
+        clock: Clock,
+        metrics: Metrics,
+        reason: Callable[[str], str],
+    ) -> None:
+        self._membership = membership
+        self._store = store
+        self._replica = store.replica
+        self._teams = teams
+        self._zones = zones
+        self._clock = clock
+        self._metrics = metrics
+        self._reason = reason
+
+    @property
+    def ready(self) -> bool:
+        return self._replica.loaded and self._membership.is_member and bool(self._replica.types)
+
+    async def handle(self, request: Request) -> Response:
+        path = request.path.partition("?")[0].strip("/").split("/")
+        if len(path) == 1:
+            return await self._only("POST", request, self.submit(request.body))
+        if len(path) == 2:
+            return await self._only("GET", request, self.show(path[1]))
+        if len(path) == 3 and path[2] == "cancel":
+            return await self._only("POST", request, self.cancel(path[1]))
+        return answer(404, {"error": "no such path"})
+
+    async def _only(
+        self, method: str, request: Request, work: Coroutine[None, None, Response]
+    ) -> Response:
+        if request.method != method:
+            work.close()
+            reply = answer(405, {"error": f"only {method}"})
+            reply.headers.append(("Allow", method))
+            return reply
+        try:
+            async with asyncio.timeout(c.COMMIT_WAIT_S):
+                response = await work
+        except (Unavailable, Unknown, TimeoutError) as error:
+            log.debug("%s %s: %s", request.method, request.path, error)
+            response = answer(503, {"error": "the state service can't be asked"}, c.RETRY_AFTER_S)
+        if response.status >= 400:
+            self._metrics.refusals.labels(str(response.status)).inc()
+        return response
+
+    # --- submit -----------------------------------------------------------------------------
+    async def submit(self, body: bytes) -> Response:
+        try:
+            spec = m.SUBMISSION.decode(body).spec()
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return await self._malformed(body, str(error))
+        known = self._replica.jobs.get(spec.id)
+        if known is not None and known.record is not None:
+            return await self.show(spec.id)
+        if not self.ready:
+            return answer(503, {"error": "not ready yet"}, c.RETRY_AFTER_S)
+        why = refusal(spec, self._teams, self._replica.types, self._zones)
+        if why:
+            return await self._refused(spec.id, 422, why)
+        record = r.JobRecord("open", spec.tasks, self._clock.wall(), spec)
+        key = r.job_key(spec.id)
+        for _ in range(c.SCRATCH_TRIES):
+            conditions = {key: 0, r.VIEW: self._replica.view_version}
+            if await self._store.commit(conditions, {key: record}):
+                self._metrics.accepted.inc()
+                log.info(
+                    "job %s accepted: %s of %d, team %s, %s priority",
+                    spec.id,
+                    spec.kind,
+                    spec.tasks,
+                    spec.team,
+                    r.PRIORITIES[spec.priority],
+                )
+                return answer(201, m.State(spec.id, "queued"))
+            if spec.id in self._replica.jobs:
+                return await self.show(spec.id)
+        return answer(503, {"error": "the view keeps changing"}, c.RETRY_AFTER_S)
+
+    async def _refused(self, job: str, status: int, why: str) -> Response:
+        """A repeat of an accepted job is 200 whatever else is true of it."""
+        await self._store.fresh()
+        if job in self._replica.jobs:
+            return await self.show(job)
+        return answer(status, {"error": why})
+
+    async def _malformed(self, body: bytes, why: str) -> Response:
+        try:
+            parsed = msgspec.json.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return answer(400, {"error": why})
+        job = parsed.get("name_id") if isinstance(parsed, dict) else None
+        if isinstance(job, str) and JOB_ID.match(job):
+            return await self._refused(job, 400, why)
+        return answer(400, {"error": why})
+
+    # --- show -------------------------------------------------------------------------------
+    async def show(self, job_id: str) -> Response:
+        if not JOB_ID.match(job_id):
+            return answer(404, {"error": "no such job"})
+        job = self._replica.jobs.get(job_id)
+        if not _is_final(job):
+            await self._store.fresh()
+            job = self._replica.jobs.get(job_id)
+        if job is None or job.record is None:
+            return answer(404, {"error": "no such job"})
+        return answer(200, self._state(job))
+
+    def _state(self, job: Job) -> m.State:
+        assert job.record is not None
+        if job.record.status == "done":
+            return m.State(job.id, "done", job.record.tasks, 0)
+        if job.record.status == "cancelled":
+            return m.State(job.id, "cancelled", job.done, 0)
+        state = "running" if job.bound else "queued"
+        return m.State(job.id, state, job.done, job.bound, self._note(job))
+
+    def _note(self, job: Job) -> str:
+        assert job.record is not None
+        stopped = ""
+        for chunk in job.chunks.values():
+            for task in chunk.tasks:
+                if task.stop or (task.why and not task.done):
+                    stopped = task.stop or task.why
+        waiting = ""
+        if job.done + job.bound < job.record.tasks:
+            waiting = f"waits for {self._reason(job.id) or 'credit'}"
+        return "; ".join(
+            part for part in (waiting, f"last stop: {stopped}" if stopped else "") if part
+        )
+
+    # --- cancel -----------------------------------------------------------------------------
+    async def cancel(self, job_id: str) -> Response:
+        if not JOB_ID.match(job_id):
+            return answer(404, {"error": "no such job"})
+        job = self._replica.jobs.get(job_id)
+        if not _is_final(job):
+            await self._store.fresh()
+            job = self._replica.jobs.get(job_id)
+        if job is None or job.record is None:
+            return answer(404, {"error": "no such job"})
+        if job.is_open:
+            await asyncio.shield(self._store.change_job(job_id, _cancel, urgent=True))
+            log.info("job %s: cancel asked by its user", job_id)
+        if not _is_final(job):
+            return answer(503, {"error": "try again"}, c.RETRY_AFTER_S)
+        assert job.record is not None
+        return answer(200, m.State(job_id, job.record.status))
+
+
+def _cancel(draft: Draft) -> None:
+    if draft.status == "open":
+        draft.status = "cancelled"
+
+
+def _is_final(job: Job | None) -> bool:
+    return job is not None and job.record is not None and job.record.status != "open"
--- /dev/null
+++ b/pulleydeal/workers/messages.py
@@ -0,0 +1,82 @@
+"""The workers' wire forms (PROTOCOL: block, shift, tally, whistle, lifts, pull, calls)."""
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+Count = Annotated[int, Meta(ge=0)]
+Text = Annotated[str, Meta(min_length=1, max_length=200)]
+STATES = {
+    "fetching": "fetching",
+    "gathering": "waiting",
+    "running": "running",
+    "flushing": "saving",
+    "exited": "exited",
+}
+WHY = {
+    "peers": "peers",
+    "incomplete": "alone",
+    "full": "no room",
+    "in_use": "busy",
+    "no_such": "unknown",
+}
+
+
+class ReportedTask(Struct):
+    task: Text = msgspec.field(name="lift")
+    attempt: Count = msgspec.field(name="pull")
+    state: Literal["fetching", "gathering", "running", "flushing", "exited"] = msgspec.field(
+        name="tension"
+    )
+    why: str | None = msgspec.field(name="slack_reason", default=None)
+    saved: bool | None = None
+
+
+class Report(Struct):
+    machine: Text = msgspec.field(name="block")
+    addr: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    type: Text = msgspec.field(name="rig_model")
+    zone: Text = msgspec.field(name="yard")
+    spot: bool = msgspec.field(name="loaners")
+    session: Count = msgspec.field(name="shift")
+    seq: Count = msgspec.field(name="tally")
+    token: Count = msgspec.field(name="whistle")
+    notice_s: float | None = msgspec.field(name="reclaim_s", default=None)
+    tasks: list[ReportedTask] = msgspec.field(name="lifts", default_factory=list)
+
+
+REPORT = msgspec.json.Decoder(Report)
+
+
+def task_name(job: str, index: int) -> str:
+    return f"{job}/{index}"
+
+
+def split_task(name: str) -> tuple[str, int]:
+    job, _, index = name.rpartition("/")
+    return job, int(index)
+
+
+def run(job: str, index: int, attempt: int) -> dict[str, Any]:
+    return {"call": "run", "lift": task_name(job, index), "pull": attempt}
+
+
+def kill(job: str, index: int, attempt: int, grace_s: float) -> dict[str, Any]:
+    return {"call": "kill", "lift": task_name(job, index), "pull": attempt, "ease_s": grace_s}
+
+
+def clear(job: str, index: int, attempt: int) -> dict[str, Any]:
+    return {"call": "clear", "lift": task_name(job, index), "pull": attempt}
+
+
+def commands(token: int, calls: list[dict[str, Any]]) -> dict[str, Any]:
+    return {"whistle": token, "calls": calls}
+
+
+def orders(token: int, session: int, calls: list[dict[str, Any]]) -> dict[str, Any]:
+    return {"whistle": token, "shift": session, "calls": calls}
+
+
+def redirect(member: str) -> dict[str, Any]:
+    return {"foreman": member} if member else {}
--- /dev/null
+++ b/pulleydeal/workers/service.py
@@ -0,0 +1,449 @@
+"""Answers check-ins, gives orders, and turns proof that a task is gone into durable facts."""
+
+import asyncio
+import logging
+import threading
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.http import Client, NoAnswer, Request, Response, answer
+from pulleydeal.membership import view as views
+from pulleydeal.membership.service import Membership
+from pulleydeal.metrics import Metrics
+from pulleydeal.settings import WorkerTimes
+from pulleydeal.store import records as r
+from pulleydeal.store.draft import Draft
+from pulleydeal.store.service import Store
+from pulleydeal.workers import messages as m
+from pulleydeal.workers.station import (
+    Exit,
+    Plan,
+    Sent,
+    Start,
+    Station,
+    TaskId,
+    Wanted,
+    absorb,
+    is_sick,
+    reconcile,
+    silent_s,
+)
+
+log = logging.getLogger("pulleydeal.workers")
+
+
+def _nothing() -> None:
+    """Before anybody listens."""
+
+
+class Workers:
+    def __init__(
+        self,
+        membership: Membership,
+        store: Store,
+        times: WorkerTimes,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._membership = membership
+        self._store = store
+        self._replica = store.replica
+        self._times = times
+        self._clock = clock
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self.stations: dict[str, Station] = {}
+        self._clients: dict[str, Client] = {}
+        self._exits: set[Start] = set()
+        self._writing: set[str] = set()
+        self._orders = asyncio.Semaphore(c.ORDERS_IN_FLIGHT)
+        self._background: set[asyncio.Task[None]] = set()
+        self._dirty: set[str] = set()
+        self._wake = asyncio.Event()
+        # A blind node must be silent early enough that leases end within cancel_s.
+        self._blind_limit_s = max(
+            2.0, (times.cancel_s - times.lease_s) * (1 - c.CLOCK_DRIFT) - c.RENEW_MARGIN_S
+        )
+        self.changed: Callable[[], None] = _nothing  # called when credits may have changed
+        store.replica.listen(self._on_change)
+
+    def _on_change(self, kind: str, name: str) -> None:
+        if kind == "job":
+            job = self._replica.jobs.get(name)
+            if job is not None:
+                for _, task in job.bindings():
+                    self._dirty.add(task.machine)
+            for machine, station in self.stations.items():
+                if any(task_id[0] == name for task_id in station.entries):
+                    self._dirty.add(machine)
+        elif kind == "machine":
+            self._dirty.add(name)
+        elif kind == "view":
+            self._own()
+        self._wake.set()
+
+    def _own(self) -> None:
+        """Takes and gives up machines as the view says."""
+        token = views.token(self._membership.epoch, 0)
+        now = self._clock.now()
+        with self._lock:
+            for machine, station in list(self.stations.items()):
+                if not self._membership.owns(machine, station.zone):
+                    del self.stations[machine]
+            for machine, record in self._replica.machines.items():
+                rec = record.record
+                if rec.state == "gone" or machine in self.stations:
+                    continue
+                if self._membership.owns(machine, rec.zone):
+                    station = self._station(machine, rec.type, rec.zone, rec.spot, token, now)
+                    station.addr = rec.addr
+        self._dirty.update(self.stations)
+
+    def _station(
+        self, machine: str, type_: str, zone: str, spot: bool, token: int, now: float
+    ) -> Station:
+        inherited = {
+            (job, index, task.attempt)
+            for (job, index), task in self._replica.bound.get(machine, {}).items()
+        }
+        station = Station(machine, type_, zone, spot, now, token, inherited)
+        self.stations[machine] = station
+        return station
+
+    def token(self, station: Station) -> int:
+        return views.token(self._membership.epoch, station.fence)
+
+    def silent(self, station: Station) -> bool:
+        limit = c.SILENT_REPORTS * self._times.report_s
+        return silent_s(station, self._clock.now()) > limit
+
+    def oldest_report_s(self) -> float:
+        now = self._clock.now()
+        return max((silent_s(station, now) for station in self.stations.values()), default=0.0)
+
+    # --- check-ins ------------------------------------------------------------------------
+    async def checkin(self, request: Request) -> Response:
+        try:
+            report = m.REPORT.decode(request.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return answer(400, {"error": str(error)})
+        if not self._replica.loaded or not self._membership.is_member:
+            return answer(503, {"error": "not ready"}, c.RETRY_AFTER_S)
+        owner = self._membership.owner(report.machine, report.zone)
+        if owner != self._membership.me:
+            return answer(421, m.redirect(owner))
+        if not self._may_renew():
+            return answer(503, {"error": "blind for too long"}, c.RETRY_AFTER_S)
+        record = self._replica.machines.get(report.machine)
+        if record is not None and record.record.state == "gone":
+            return answer(503, {"error": "machine was given back"}, c.RETRY_AFTER_S)
+        station = self.stations.get(report.machine)
+        if station is None:
+            token = views.token(self._membership.epoch, 0)
+            with self._lock:
+                station = self._station(
+                    report.machine,
+                    report.type,
+                    report.zone,
+                    report.spot,
+                    token,
+                    self._clock.now(),
+                )
+        if report.token > self.token(station):
+            # Somebody newer commands this machine: our view is old, or will soon be.
+            return answer(421, m.redirect(""))
+        self._take(station, report, checkin=True)
+        if record is None or record.record.state == "boot" or (record.record.addr != report.addr):
+            self._spawn(self._adopt(report))
+        plan = self._plan(station)
+        for start in plan.runs:
+            station.sent[start] = Sent(station.session, report.seq)
+            self._log_run(station, start, "check-in")
+        body = m.commands(self.token(station), [] if station.busy else plan.calls)
+        return Response(200, msgspec.json.encode(body), written=lambda: self._answered(station))
+
+    def _answered(self, station: Station) -> None:
+        station.answered_at = self._clock.now()
+
+    def _may_renew(self) -> bool:
+        """Nobody may keep a machine's tasks alive who can't hear of a cancellation."""
+        blind_s = self._clock.now() - self._store.known_at
+        return blind_s < self._blind_limit_s or self._membership.vouched()
+
+    def _take(self, station: Station, report: m.Report, checkin: bool) -> None:
+        with self._lock:
+            was = {k for k, e in station.entries.items() if e.state == "exited"}
+            fresh = absorb(station, report, self._clock.now(), checkin)
+        exited = {k for k, e in station.entries.items() if e.state == "exited"}
+        if fresh and (exited != was or not checkin):
+            self._dirty.add(station.id)
+            self._wake.set()
+        self.changed()
+
+    async def _adopt(self, report: m.Report) -> None:
+        """A machine has a durable record before anything is bound to it."""
+        if report.machine in self._writing:
+            return
+        self._writing.add(report.machine)
+        try:
+            old = self._replica.machines.get(report.machine)
+            state: r.MachineState = "up"
+            if old is not None and old.record.state in ("drain", "gone"):
+                state = old.record.state
+            record = r.MachineRecord(
+                state, report.type, report.zone, report.spot, report.addr, self._clock.wall()
+            )
+            conditions = {r.machine_key(report.machine): old.version if old else 0}
+            if await self._store.commit(conditions, {r.machine_key(report.machine): record}):
+                log.info(
+                    "machine %s is up in %s%s",
+                    report.machine,
+                    report.zone,
+                    " (spot)" if report.spot else "",
+                )
+        finally:
+            self._writing.discard(report.machine)
+
+    # --- planning -------------------------------------------------------------------------
+    def _wanted(self, station: Station) -> dict[TaskId, Wanted]:
+        relayed = self._membership.relayed_cancels()
+        wanted = {}
+        for task_id, task in self._replica.bound.get(station.id, {}).items():
+            job = self._replica.jobs[task_id[0]]
+            if job.spec is not None:
+                over = not job.is_open or job.id in relayed
+                if job.spec.kind == "gang" and not over:
+                    over = self._broken(task_id, task)
+                wanted[task_id] = Wanted(task, job.spec, over)
+        return wanted
+
+    def _broken(self, task_id: TaskId, task: r.Task) -> bool:
+        """A gang that lost a task can't go on: its last checkpoint is all that is left."""
+        job = self._replica.jobs[task_id[0]]
+        assert job.spec is not None
+        return any(
+            other.attempt == task.attempt and not other.machine and not other.done
+            for other in map(job.task, range(job.spec.tasks))
+        )
+
+    def _plan(self, station: Station) -> Plan:
+        with self._lock:
+            plan = reconcile(station, self._wanted(station), self._clock.now(), self._times.lease_s)
+            if station.busy:
+                plan.calls, plan.runs = [], []
+        for gone in plan.exits:
+            self._record_exit(station, gone)
+        return plan
+
+    def _record_exit(self, station: Station, gone: Exit) -> None:
+        start = (gone.job, gone.index, gone.attempt)
+        if start in self._exits:
+            return
+        self._exits.add(start)
+        if gone.outcome == "error":
+            station.errors.append((self._clock.now(), start))
+        log.info(
+            "task %s/%d attempt %d on %s ended: %s (%s)",
+            gone.job,
+            gone.index,
+            gone.attempt,
+            gone.machine,
+            gone.outcome,
+            gone.detail,
+        )
+        self._metrics.stops.labels(gone.outcome).inc()
+        future = self._store.change_job(gone.job, partial(apply_exit, gone=gone), urgent=True)
+        future.add_done_callback(lambda _: self._exits.discard(start))
+
+    def _log_run(self, station: Station, start: Start, how: str) -> None:
+        self._metrics.starts.inc()
+        log.info(
+            "run %s/%d attempt %d on %s by %s, epoch %d",
+            *start,
+            station.id,
+            how,
+            self._membership.epoch,
+        )
+
+    # --- direct orders ----------------------------------------------------------------------
+    async def work(self) -> None:
+        """One round: whatever changed is reconciled, and said at once where that helps."""
+        try:
+            async with asyncio.timeout(1.0):
+                await self._wake.wait()
+        except TimeoutError:
+            self._dirty.update(self.stations)
+        self._wake.clear()
+        dirty, self._dirty = self._dirty, set()
+        for machine in dirty:
+            station = self.stations.get(machine)
+            if station is not None and not station.busy:
+                self._look(station)
+        self.changed()
+
+    def _look(self, station: Station) -> None:
+        if not self._membership.is_member:
+            return
+        if not station.trusted:
+            # After a takeover: raise the token and get a report, without waiting to be found.
+            if station.addr and station.heard_at is None:
+                station.busy = True
+                self._spawn(self._order(station, [], []))
+            return
+        if not station.addr or silent_s(station, self._clock.now()) > self._times.lease_s:
+            self._plan(station)
+            return
+        plan = self._plan(station)
+        urgent = [call for call in plan.calls if call["call"] != "clear"]
+        if urgent or any(
+            sent.fence is not None and not sent.settled for sent in station.sent.values()
+        ):
+            station.busy = True
+            for start in plan.runs:
+                station.sent[start] = Sent(station.session, 0, direct=True)
+                self._log_run(station, start, "order")
+            self._spawn(self._order(station, urgent, plan.runs))
+
+    async def _order(
+        self, station: Station, calls: list[dict[str, Any]], runs: list[Start]
+    ) -> None:
+        body = m.orders(self.token(station), station.session, calls)
+        client = self._clients.get(station.addr)
+        if client is None:
+            client = self._clients[station.addr] = Client(station.addr, self._clock)
+        try:
+            async with self._orders:
+                status, reply = await client.request("POST", "/orders", body, c.ORDERS_TIMEOUT_S)
+        except NoAnswer as error:
+            log.debug("order to %s: %s", station.id, error)
+            self._unsettle(station, runs, executed=error.sent)
+            return
+        finally:
+            station.busy = False
+        for start in runs:
+            if status == 200:
+                station.sent[start].direct = False
+                station.sent[start].settled = True
+            else:
+                station.sent.pop(start, None)
+        if status in (200, 409):
+            try:
+                report = m.REPORT.decode(reply)
+            except msgspec.DecodeError as error:
+                log.error("machine %s answers nonsense: %s", station.id, error)
+                return
+            if self.stations.get(station.id) is station:
+                self._take(station, report, checkin=False)
+
+    def _unsettle(self, station: Station, runs: list[Start], executed: bool) -> None:
+        """An unanswered order may be executed much later: fence it before concluding."""
+        if not executed:
+            for start in runs:
+                station.sent.pop(start, None)
+            return
+        if runs:
+            station.raise_fence()
+        for start in runs:
+            station.sent[start].fence = self.token(station)
+            station.sent[start].direct = False
+
+    def _spawn(self, work: Any) -> None:
+        task: asyncio.Task[None] = asyncio.ensure_future(work)
+        self._background.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._background.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.info("a worker exchange failed: %r", task.exception())
+
+    # --- machines that should go --------------------------------------------------------------
+    async def tend(self) -> None:
+        """One round: marks silent and sick machines, and drains those with a notice."""
+        await asyncio.sleep(0.5)
+        if not self._membership.is_member:
+            return
+        now = self._clock.now()
+        for client in self._clients.values():
+            client.drop_stale()
+        for station in list(self.stations.values()):
+            record = self._replica.machines.get(station.id)
+            if record is None or record.record.state != "up":
+                continue
+            why = ""
+            if silent_s(station, now) > c.SILENT_RETURN_LEASES * self._times.lease_s:
+                why = "silent"
+            elif is_sick(station, now):
+                why = "sick"
+            elif station.notice_at is not None:
+                why = "notice"
+                self._drain_for_notice(station, now)
+            if why and why != "notice":
+                await self.mark(station.id, why)
+
+    async def mark(self, machine: str, why: str) -> None:
+        old = self._replica.machines[machine]
+        record = msgspec.structs.replace(old.record, state="drain", why=why, at=self._clock.wall())
+        key = r.machine_key(machine)
+        conditions = {key: old.version, r.VIEW: self._replica.view_version}
+        if await self._store.commit(conditions, {key: record}):
+            log.info("machine %s is to go: %s", machine, why)
+
+    def _drain_for_notice(self, station: Station, now: float) -> None:
+        assert station.notice_at is not None
+        for (job_id, index), task in self._replica.bound.get(station.id, {}).items():
+            spec = self._replica.jobs[job_id].spec
+            if spec is None or task.stop:
+                continue
+            if spec.checkpoint_s > 0:
+                last = station.notice_at - spec.save_s - c.STOP_SLACK_S
+            else:
+                last = station.notice_at - c.STOP_SLACK_S / 2
+            if now >= last:
+                self.stop(job_id, index, task.attempt, "the cloud takes its spot machine back")
+
+    def stop(self, job_id: str, index: int, attempt: int, why: str) -> None:
+        """Stops a task in good order, and with it its gang; the reason is durable."""
+        self._store.change_job(
+            job_id, partial(apply_stop, index=index, attempt=attempt, why=why), urgent=True
+        )
+
+
+def apply_exit(draft: Draft, gone: Exit) -> None:
+    """The task is proved gone: it is unbound, and done if that is how it ended."""
+    old = draft.task(gone.index)
+    if old.machine != gone.machine or old.attempt != gone.attempt:
+        return
+    task = draft.edit(gone.index)
+    if task is None:
+        return
+    task.machine = ""
+    task.stop = ""
+    task.why = gone.detail
+    if gone.outcome == "done":
+        task.why = ""
+        if draft.spec.kind != "service":
+            task.done = True
+        if draft.spec.kind == "gang":
+            # PROTOCOL: a gang's tasks complete together; when one is done, all are.
+            for index in range(draft.spec.tasks):
+                peer = draft.edit(index)
+                if peer is not None and peer.attempt == gone.attempt:
+                    peer.done = True
+    if gone.outcome == "error":
+        task.fails += 1
+
+
+def apply_stop(draft: Draft, index: int, attempt: int, why: str) -> None:
+    gang = draft.spec.kind == "gang"
+    for i in range(draft.spec.tasks) if gang else [index]:
+        old = draft.task(i)
+        if old.machine and old.attempt == attempt and not old.stop and not old.done:
+            task = draft.edit(i)
+            if task is not None:
+                task.stop = why
--- /dev/null
+++ b/pulleydeal/workers/station.py
@@ -0,0 +1,221 @@
+"""What the owner of a machine knows of it, and what it concludes from that.
+
+Everything here is a plain function of state and time; nothing is sent from here.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from pulleydeal import constants as c
+from pulleydeal.store.records import JobSpec, Task
+from pulleydeal.workers import messages as m
+
+TaskId = tuple[str, int]
+Start = tuple[str, int, int]  # job, index, attempt
+
+
+@dataclass(slots=True)
+class Entry:
+    attempt: int
+    state: str
+    why: str = ""
+    saved: bool = False
+
+
+@dataclass(slots=True)
+class Sent:
+    """A `run` whose effect has not shown in a report yet."""
+
+    session: int
+    after_seq: int  # settled by a check-in later than this (sent in a check-in's answer)
+    fence: int | None = None  # settled once the machine holds this token (order unanswered)
+    direct: bool = False  # an order in flight: nothing is known before it is answered
+    settled: bool = False
+
+
+@dataclass(slots=True)
+class Exit:
+    job: str
+    index: int
+    attempt: int
+    machine: str
+    outcome: str  # done, error, saved, stopped, lost, refused, ...
+    detail: str
+
+
+@dataclass(slots=True)
+class Wanted:
+    """One binding as the state service has it."""
+
+    task: Task
+    spec: JobSpec
+    over: bool  # the job is cancelled, or over
+
+
+@dataclass(slots=True)
+class Station:
+    id: str
+    type: str
+    zone: str
+    spot: bool
+    since: float  # steady time from which this node has owned the machine without a break
+    floor: int  # token at that time: a report that holds it was made after the takeover
+    inherited: set[Start]  # bindings that an earlier owner may have started
+    addr: str = ""
+    fence: int = 0
+    session: int = 0
+    seq: int = 0
+    seen_token: int = 0
+    notice_at: float | None = None  # steady time at which the cloud takes the machine
+    heard_at: float | None = None  # steady time of the last report of any kind
+    answered_at: float | None = None  # steady time of the last check-in answered with 200
+    entries: dict[TaskId, Entry] = field(default_factory=dict)
+    sent: dict[Start, Sent] = field(default_factory=dict)
+    seen: set[Start] = field(default_factory=set)
+    killed_at: dict[tuple[Start, bool], float] = field(default_factory=dict)
+    errors: list[tuple[float, Start]] = field(default_factory=list)
+    busy: bool = False  # a direct order is in flight
+
+    @property
+    def trusted(self) -> bool:
+        """Its reports are newer than anything an earlier owner can still have executed."""
+        return self.heard_at is not None and self.seen_token >= self.floor
+
+    def raise_fence(self) -> None:
+        self.fence += 1
+
+
+def absorb(s: Station, report: m.Report, now: float, checkin: bool) -> bool:
+    """Takes a report in. False: it is older than what is known, so its content is ignored."""
+    if (report.session, report.seq) <= (s.session, s.seq):
+        return False
+    new_session = report.session > s.session
+    s.session, s.seq = report.session, report.seq
+    s.seen_token = report.token
+    s.addr = report.addr
+    s.heard_at = now
+    s.notice_at = now + report.notice_s if report.notice_s is not None else None
+    s.entries = {}
+    for t in report.tasks:
+        try:
+            task_id = m.split_task(t.task)
+        except ValueError:
+            continue
+        why = m.WHY.get(t.why or "", t.why or "")
+        s.entries[task_id] = Entry(t.attempt, m.STATES[t.state], why, bool(t.saved))
+        s.seen.add((*task_id, t.attempt))
+    for start, sent in s.sent.items():
+        # An order for an earlier session gets 409 whenever it arrives.
+        if (
+            (new_session and sent.session < report.session and not sent.direct)
+            or (sent.fence is not None and report.token >= sent.fence)
+            or (not sent.direct and sent.fence is None and checkin and report.seq > sent.after_seq)
+        ):
+            sent.settled = True
+        entry = s.entries.get(start[:2])
+        if entry is not None and entry.attempt == start[2] and not sent.direct:
+            sent.settled = True
+    return True
+
+
+def silent_s(s: Station, now: float) -> float:
+    return now - max(s.since, s.heard_at if s.heard_at is not None else s.since)
+
+
+def lease_over(s: Station, now: float, lease_s: float) -> bool:
+    """The worker must have killed everything: we alone could renew, and did not.
+
+    Only valid for an owner that itself answered: an earlier one may renew in a cut zone.
+    """
+    if s.answered_at is None or not s.trusted:
+        return False
+    return now - s.answered_at > lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
+
+
+@dataclass(slots=True)
+class Plan:
+    calls: list[dict[str, Any]] = field(default_factory=list)
+    runs: list[Start] = field(default_factory=list)
+    exits: list[Exit] = field(default_factory=list)
+
+
+def reconcile(s: Station, wanted: dict[TaskId, Wanted], now: float, lease_s: float) -> Plan:
+    """Compares what is bound with what the machine reports."""
+    plan = Plan()
+    if lease_over(s, now, lease_s):
+        for (job, index), want in wanted.items():
+            why = "machine lost: its lease ran out"
+            plan.exits.append(Exit(job, index, want.task.attempt, s.id, "lost", why))
+        return plan
+    if not s.trusted:
+        return plan
+    for (job, index), want in wanted.items():
+        _one(s, (job, index, want.task.attempt), want, now, plan)
+    for (job, index), entry in s.entries.items():
+        bound = wanted.get((job, index))
+        if bound is not None and bound.task.attempt == entry.attempt:
+            continue
+        start = (job, index, entry.attempt)
+        sent = s.sent.get(start)
+        if entry.state != "exited":
+            _kill(s, start, 0.0, now, plan)
+        elif sent is None or sent.settled:
+            # Unbound by a durable change, and no order with its `run` can still arrive.
+            plan.calls.append(m.clear(*start))
+    for start in [k for k in s.sent if k[:2] not in wanted and s.sent[k].settled]:
+        del s.sent[start]
+    return plan
+
+
+def _one(s: Station, start: Start, want: Wanted, now: float, plan: Plan) -> None:
+    job, index, attempt = start
+    entry = s.entries.get((job, index))
+    if entry is not None and entry.attempt == attempt:
+        if entry.state == "exited":
+            outcome = _outcome(entry)
+            detail = want.task.stop or entry.why
+            plan.exits.append(Exit(job, index, attempt, s.id, outcome, detail))
+        elif want.over:
+            _kill(s, start, 0.0, now, plan)
+        elif want.task.stop:
+            _kill(s, start, want.spec.save_s + 1.0, now, plan)
+        return
+    if entry is not None and entry.state != "exited":
+        return  # another attempt is still there; it is being killed
+    sent = s.sent.get(start)
+    if sent is not None and not sent.settled:
+        return
+    if sent is not None or start in s.inherited or start in s.seen:
+        # Absent from a report made after its run could last take effect: it is gone.
+        why = "never came up" if start not in s.seen else "vanished: the machine lost its lease"
+        plan.exits.append(Exit(job, index, attempt, s.id, "lost", want.task.stop or why))
+    elif want.over or want.task.stop:
+        plan.exits.append(Exit(job, index, attempt, s.id, "stopped", want.task.stop))
+    else:
+        plan.calls.append(m.run(*start))
+        plan.runs.append(start)
+
+
+def _outcome(entry: Entry) -> str:
+    if entry.why in ("no room", "busy", "unknown"):
+        return "refused"
+    if entry.why == "stopped":
+        return "saved" if entry.saved else "stopped"
+    return entry.why or "lost"
+
+
+def _kill(s: Station, start: Start, grace_s: float, now: float, plan: Plan) -> None:
+    key = (start, grace_s > 0)
+    if now - s.killed_at.get(key, -1e9) < c.KILL_REPEAT_S:
+        return
+    entry = s.entries[start[:2]]
+    if entry.state == "saving" and grace_s > 0:
+        return
+    s.killed_at[key] = now
+    plan.calls.append(m.kill(*start, grace_s))
+
+
+def is_sick(s: Station, now: float) -> bool:
+    s.errors = [(at, start) for at, start in s.errors if now - at < c.SICK_WINDOW_S]
+    jobs = {start[0] for _, start in s.errors}
+    return len(s.errors) >= c.SICK_ERRORS and len(jobs) >= c.SICK_JOBS
