--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -122,7 +122,10 @@
 
 
 def _first(window: list[Credit], ask: Ask) -> Credit | None:
-    return next((credit for credit in window if credit.room.fits(ask.need)), None)
+    """Of the probed credits, one whose machine has the image already; else the first."""
+    fitting = [credit for credit in window if credit.room.fits(ask.need)]
+    ready = (credit for credit in fitting if ask.image in credit.images)
+    return next(ready, fitting[0] if fitting else None)
 
 
 def preemptible(victim: Victim, ask: Ask) -> bool:
