--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -56,6 +56,7 @@
 
 # --- Credits ------------------------------------------------------------------------------
 PROBES = 3  # credits that a task looks at from the queue head (DESIGN: three, ours)
+PUBLISHED_IMAGES = 50  # images named per published total: bounds a heartbeat's size
 HOLD_S = 3.0  # a held credit whose binding is not durable by then is free again
 GANG_HOLD_S = 12.0  # gangs gather longer: members' machines may have to be emptied
 ASK_TTL_S = 3.0  # a waiting task's place in an owner's queue, renewed by its leader
--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -105,27 +105,23 @@
     def probe(self, ask: Ask) -> Credit | None:
         """Looks at a few credits at a time from the head and takes the first that fits.
 
-        Credits are unequal here, unlike in the talk: when none of the first few fits, the
-        next few are looked at, or a fitting credit further back would never be found.
+        Two exceptions to the design, as our credits are unequal and the talk's are not. When
+        none of the first few fits, the next few are looked at, or a fitting credit further
+        back would never be found. And credits whose machines have the image come first: a
+        fetch takes longer than most starts may.
         """
-        window: list[Credit] = []
-        for credit in self:
-            if not allowed(credit, ask):
-                continue
-            window.append(credit)
-            if len(window) == c.PROBES:
-                found = _first(window, ask)
+        open_to = [credit for credit in self if allowed(credit, ask)]
+        ready = [credit for credit in open_to if ask.image in credit.images]
+        for credits in (ready, open_to):
+            for start in range(0, len(credits), c.PROBES):
+                found = _first(credits[start : start + c.PROBES], ask)
                 if found is not None:
                     return found
-                window = []
-        return _first(window, ask)
+        return None
 
 
 def _first(window: list[Credit], ask: Ask) -> Credit | None:
-    """Of the probed credits, one whose machine has the image already; else the first."""
-    fitting = [credit for credit in window if credit.room.fits(ask.need)]
-    ready = (credit for credit in fitting if ask.image in credit.images)
-    return next(ready, fitting[0] if fitting else None)
+    return next((credit for credit in window if credit.room.fits(ask.need)), None)
 
 
 def preemptible(victim: Victim, ask: Ask) -> bool:
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -275,6 +275,8 @@
             total.memory += max(0.0, credit.room.memory)
             total.largest_cpus = max(total.largest_cpus, credit.room.cpus)
             total.largest_gpus = max(total.largest_gpus, credit.room.gpus)
+            if credit.room.cpus > 0 and len(total.images) < c.PUBLISHED_IMAGES:
+                total.images += sorted(credit.images.difference(total.images))
         old, self._published = self._published, list(totals.values())
         if old != self._published:
             self._membership.send_beat()  # the signal: credit changed
--- a/pulleydeal/membership/messages.py
+++ b/pulleydeal/membership/messages.py
@@ -19,6 +19,7 @@
     memory: float = 0.0
     largest_cpus: float = 0.0
     largest_gpus: float = 0.0
+    images: list[str] = field(default_factory=list)  # on machines with room
 
 
 @dataclass(slots=True)
@@ -33,14 +34,16 @@
     for t in beat.totals:
         packer.text(t.type).text(t.zone).u8(t.spot)
         packer.f64(t.cpus).f64(t.gpus).f64(t.memory).f64(t.largest_cpus).f64(t.largest_gpus)
+        packer.texts(t.images)
     return packer.texts(beat.cancelled).bytes()
 
 
 def unpack_beat(data: bytes) -> Beat:
     u = Unpacker(data)
     epoch = u.u64()
-    totals = [
-        Total(u.text(), u.text(), bool(u.u8()), u.f64(), u.f64(), u.f64(), u.f64(), u.f64())
-        for _ in range(u.u16())
-    ]
+    totals = []
+    for _ in range(u.u16()):
+        kind = (u.text(), u.text(), bool(u.u8()))
+        amounts = (u.f64(), u.f64(), u.f64(), u.f64(), u.f64())
+        totals.append(Total(*kind, *amounts, u.texts()))
     return Beat(epoch, totals, u.texts())
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -341,19 +341,28 @@
     ) -> str:
         """The part to wait at: by published credit; without any, in turn."""
 
-        def score(part: str) -> tuple[bool, float]:
+        def score(part: str) -> tuple[bool, bool, float]:
             fitting = [t for t in parts[part] if t.zone in zones and _suits(spec, t)]
             largest = any(
                 t.largest_cpus >= spec.cpus and t.largest_gpus >= spec.gpus for t in fitting
             )
-            return largest, sum(t.gpus + t.cpus / 100 for t in fitting)
+            ready = any(
+                t.largest_cpus >= spec.cpus
+                and t.largest_gpus >= spec.gpus
+                and spec.image in t.images
+                for t in fitting
+            )
+            return largest, ready, sum(t.gpus + t.cpus / 100 for t in fitting)
 
         if not parts or not zones:
             return ""
-        if pending is not None and pending.part in parts and now - pending.asked_at < c.ASK_TTL_S:
-            has, _ = score(pending.part)
-            if has or now - pending.since < c.ASK_REPEAT_S:
-                return pending.part
+        if (
+            pending is not None
+            and pending.part in parts
+            and now - pending.asked_at < c.ASK_TTL_S
+            and (score(pending.part)[0] or now - pending.since < c.ASK_REPEAT_S)
+        ):
+            return pending.part
         best = max(parts, key=lambda p: (*score(p), p))
         if score(best)[0]:
             return best
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -21,6 +21,7 @@
 from pulleydeal.store.service import Store
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.station import (
+    Entry,
     Exit,
     Plan,
     Sent,
@@ -177,14 +178,29 @@
 
     def _take(self, station: Station, report: m.Report, checkin: bool) -> None:
         with self._lock:
-            was = {k for k, e in station.entries.items() if e.state == "exited"}
+            before = station.entries
+            was = {k for k, e in before.items() if e.state == "exited"}
             fresh = absorb(station, report, self._clock.now(), checkin)
+        if fresh:
+            self._log_progress(station, before)
         exited = {k for k, e in station.entries.items() if e.state == "exited"}
         if fresh and (exited != was or not checkin):
             self._dirty.add(station.id)
             self._wake.set()
         self.changed()
 
+    def _log_progress(self, station: Station, before: dict[TaskId, Entry]) -> None:
+        for task_id, entry in station.entries.items():
+            old = before.get(task_id)
+            if entry.state != "exited" and (old is None or old.state != entry.state):
+                log.info(
+                    "task %s/%d attempt %d on %s: %s",
+                    *task_id,
+                    entry.attempt,
+                    station.id,
+                    entry.state,
+                )
+
     async def _adopt(self, report: m.Report) -> None:
         """A machine has a durable record before anything is bound to it."""
         if report.machine in self._writing:
