--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -61,6 +61,8 @@
 GANG_HOLD_S = 12.0  # gangs gather longer: members' machines may have to be emptied
 ASK_TTL_S = 3.0  # a waiting task's place in an owner's queue, renewed by its leader
 ASK_REPEAT_S = 1.0  # how often the leader renews it
+ROOM_BELOW = 2  # priorities below high may be stopped for a machine that has the image
+WORTH_FETCH_S = 5.0  # a fetch longer than this is worth stopping such a task
 RESERVE_S = 15.0  # how long room emptied by preemption is kept for the one it was made for
 PREEMPT_AFTER_S = 0.4  # an ask first waits this long for a credit on its way
 
--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -102,21 +102,23 @@
     def __iter__(self) -> Iterator[Credit]:
         return (self.credits[machine] for machine in self._order)
 
-    def probe(self, ask: Ask) -> Credit | None:
+    def probe(self, ask: Ask, ready: bool) -> Credit | None:
         """Looks at a few credits at a time from the head and takes the first that fits.
 
         Two exceptions to the design, as our credits are unequal and the talk's are not. When
         none of the first few fits, the next few are looked at, or a fitting credit further
-        back would never be found. And credits whose machines have the image come first: a
-        fetch takes longer than most starts may.
+        back would never be found. And credits whose machines have the image (`ready`) are
+        looked at before all others: a fetch takes longer than most starts may.
         """
-        open_to = [credit for credit in self if allowed(credit, ask)]
-        ready = [credit for credit in open_to if ask.image in credit.images]
-        for credits in (ready, open_to):
-            for start in range(0, len(credits), c.PROBES):
-                found = _first(credits[start : start + c.PROBES], ask)
-                if found is not None:
-                    return found
+        credits = [
+            credit
+            for credit in self
+            if allowed(credit, ask) and (not ready or ask.image in credit.images)
+        ]
+        for start in range(0, len(credits), c.PROBES):
+            found = _first(credits[start : start + c.PROBES], ask)
+            if found is not None:
+                return found
         return None
 
 
@@ -131,15 +133,22 @@
     )
 
 
-def choose_victims(queue: CreditQueue, ask: Ask) -> tuple[Credit, list[Victim]] | None:
-    """The machine whose emptying for `ask` costs least, and what must stop on it."""
+def choose_victims(
+    queue: CreditQueue, ask: Ask, ready: bool, below: int
+) -> tuple[Credit, list[Victim]] | None:
+    """The machine whose emptying for `ask` costs least, and what must stop on it.
+
+    `ready`: only machines that have the image; `below`: only victims of lower priority.
+    """
     best: tuple[float, Credit, list[Victim]] | None = None
     for credit in queue:
         if credit.reserved is not None or not allowed(credit, ask):
             continue
+        if ready and ask.image not in credit.images:
+            continue
         room = Room(credit.room.cpus, credit.room.gpus, credit.room.memory)
         chosen: list[Victim] = []
-        candidates = [v for v in credit.victims if preemptible(v, ask)]
+        candidates = [v for v in credit.victims if preemptible(v, ask) and v.priority < below]
         for victim in sorted(candidates, key=lambda v: (v.priority, v.loss)):
             if room.fits(ask.need):
                 break
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -238,29 +238,56 @@
     def _serve(self, waiting: Waiting, now: float) -> list[tuple[Victim, str]]:
         ask = waiting.ask
         key = (ask.job, ask.index)
-        credit = self._queue.probe(ask)
+        reserved = any(task_id == key for task_id, _ in self._reserved.values())
+        credit = self._queue.probe(ask, ready=True)
         if credit is not None:
-            credit.room.take(ask.need)
-            until = now + (c.GANG_HOLD_S if ask.gang else c.HOLD_S)
-            held = self._held[key] = Held(credit.machine, ask.need, until)
-            del self._asks[key]
-            if self._reserved.get(credit.machine, (None, 0))[0] == key:
-                del self._reserved[credit.machine]
-                credit.reserved = None
-            self._say_held(waiting.leader, key, held, now)
+            self._hold(waiting, credit, now)
             return []
-        if any(task_id == key for task_id, _ in self._reserved.values()):
-            return []
-        if now - waiting.since < c.PREEMPT_AFTER_S:
-            return []
-        chosen = choose_victims(self._queue, ask)
-        if chosen is None:
-            return []
-        machine, victims = chosen
-        self._reserved[machine.machine] = (key, now + c.RESERVE_S)
-        machine.reserved = key
+        if not reserved and self._worth_room(ask):
+            # A start on a machine with the image beats an idle machine without: the fetch
+            # would take longer than what the stopped tasks lose.
+            chosen = choose_victims(self._queue, ask, ready=True, below=c.ROOM_BELOW)
+            if chosen is not None:
+                return self._reserve(ask, *chosen, now)
+        if not reserved:
+            credit = self._queue.probe(ask, ready=False)
+            if credit is not None:
+                self._hold(waiting, credit, now)
+            elif now - waiting.since >= c.PREEMPT_AFTER_S:
+                chosen = choose_victims(self._queue, ask, ready=False, below=len(r.PRIORITIES))
+                if chosen is not None:
+                    return self._reserve(ask, *chosen, now)
+        return []
+
+    def _worth_room(self, ask: Ask) -> bool:
+        if ask.priority < c.ROOM_BELOW:
+            return False
+        spec = self._replica.jobs[ask.job].spec if ask.job in self._replica.jobs else None
+        rates = [t.fetch_gb_per_s for t in self._replica.types.values()]
+        return spec is not None and spec.image_gb > c.WORTH_FETCH_S * max(rates, default=1.0)
+
+    def _hold(self, waiting: Waiting, credit: Credit, now: float) -> None:
+        ask = waiting.ask
+        key = (ask.job, ask.index)
+        credit.room.take(ask.need)
+        until = now + (c.GANG_HOLD_S if ask.gang else c.HOLD_S)
+        held = self._held[key] = Held(credit.machine, ask.need, until)
+        del self._asks[key]
+        for machine, (task_id, _) in list(self._reserved.items()):
+            if task_id == key:
+                del self._reserved[machine]
+                if machine in self._queue.credits:
+                    self._queue.credits[machine].reserved = None
+        self._say_held(waiting.leader, key, held, now)
+
+    def _reserve(
+        self, ask: Ask, credit: Credit, victims: list[Victim], now: float
+    ) -> list[tuple[Victim, str]]:
+        key = (ask.job, ask.index)
+        self._reserved[credit.machine] = (key, now + c.RESERVE_S)
+        credit.reserved = key
         why = f"made room for {ask.job} ({r.PRIORITIES[ask.priority]} priority)"
-        log.info("machine %s: %d tasks stop for %s/%d", machine.machine, len(victims), *key)
+        log.info("machine %s: %d tasks stop for %s/%d", credit.machine, len(victims), *key)
         return [(victim, why) for victim in victims]
 
     def _publish(self) -> None:
