Keeps room for the jobs that come while a machine boots

Cause: whoever finds no room waits for a boot of 30-45 s, longer than the start aims allow. Conclusion: kept; sized by the arrivals of the last two minutes, for classes with an aim sooner than a boot.

--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -53,7 +53,9 @@
             self.membership, self.siblings, self.store, teams, zones, clock, self.metrics
         )
         cloud = Cloud(settings.endpoints.cloud, clock, deployment.cloud.rps)
-        self.fleet = Fleet(self.membership, self.store, cloud, teams, zones, clock)
+        self.fleet = Fleet(
+            self.membership, self.store, cloud, teams, zones, deployment.objectives, clock
+        )
         self.submissions = Submissions(
             self.membership,
             self.store,
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -82,6 +82,7 @@
 REFUSED_S = 15.0  # how long a zone that refused a rental is left alone
 BOOT_FACTOR = 5.0  # times ready_s (plus a lease) after which a machine never comes up
 BOOT_LATE_FACTOR = 2.5  # times ready_s after which a booting machine is no longer counted on
+ARRIVALS_S = 120.0  # arrivals of a class are counted over this long
 PLAN_TASKS = 2_000  # waiting tasks looked at in one plan: bounds its processor time
 IDLE_RETURN_S = 40.0  # operators expect unused machines back within a minute
 GONE_KEEP_S = 300.0  # how long a gone machine's record stays, so late reports don't revive it
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -1,5 +1,6 @@
 """How many machines of which kind are missing or idle: plain functions over the replica."""
 
+import math
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -7,7 +8,7 @@
 from pulleydeal.credits.messages import Need
 from pulleydeal.credits.queue import Room
 from pulleydeal.placement import rules
-from pulleydeal.settings import Team
+from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Job, Replica
 
@@ -35,9 +36,29 @@
     teams: dict[str, Team]
     zones: list[str]
     refused: set[Kind]
+    spare: list[r.JobSpec] = field(default_factory=list)  # room kept for jobs like these
     new: list[Space] = field(default_factory=list)
 
 
+def prompt_classes(objectives: list[Objective], boot_s: float) -> tuple[set[str], bool]:
+    """Classes that must start sooner than a machine boots, and whether a guarantee must."""
+    classes, guarantee = set(), False
+    for objective in objectives:
+        if objective.within_s is None or objective.within_s > boot_s:
+            continue
+        if objective.kind == "wait":
+            classes.add(objective.klass)
+        guarantee = guarantee or objective.kind == "guarantee"
+    return classes, guarantee
+
+
+def spare(recent: list[tuple[float, r.JobSpec]], wall: float, boot_s: float) -> list[r.JobSpec]:
+    """As many of a class's latest jobs as come, on average, while a machine boots."""
+    came = [spec for at, spec in recent if wall - at < c.ARRIVALS_S]
+    count = math.ceil(len(came) / c.ARRIVALS_S * boot_s)
+    return came[-count:] if count else []
+
+
 def spaces(replica: Replica, wall: float) -> list[Space]:
     found = []
     for machine in replica.machines.values():
@@ -66,22 +87,34 @@
         if spec is None or spec.team not in demand.teams:
             continue
         used = rules.zones_used([t.machine for _, t in job.bindings()], demand.zone_of)
-        need = Need(spec.cpus, spec.gpus, spec.memory)
         for _ in range(min(left, spec.tasks - job.done - job.bound)):
             left -= 1
             after = rules.add(demand.usage.get(spec.team, (0.0, 0.0)), (spec.cpus, spec.gpus))
             if not rules.within_limit(demand.teams[spec.team], after):
                 break
             demand.usage[spec.team] = after
-            zones = rules.zones_allowed(spec, used, demand.zones)
-            space = _fit(demand, spec, need, zones) or _add(demand, spec, need, zones)
-            if space is None:
+            if not _put(demand, spec, used):
+                break
+    for spec in demand.spare:
+        used = Counter[str]()
+        for _ in range(min(left, spec.tasks)):
+            left -= 1
+            if not _put(demand, spec, used):
                 break
-            space.room.take(need)
-            used[space.kind[1]] += 1
     return Counter(space.kind for space in demand.new)
 
 
+def _put(demand: Demand, spec: r.JobSpec, used: Counter[str]) -> bool:
+    need = Need(spec.cpus, spec.gpus, spec.memory)
+    zones = rules.zones_allowed(spec, used, demand.zones)
+    space = _fit(demand, spec, need, zones) or _add(demand, spec, need, zones)
+    if space is None:
+        return False
+    space.room.take(need)
+    used[space.kind[1]] += 1
+    return True
+
+
 def _fit(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
     for space in demand.spaces + demand.new:
         type_, zone, spot = space.kind
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -10,7 +10,7 @@
 from pulleydeal.fleet import plan
 from pulleydeal.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from pulleydeal.membership.service import Membership
-from pulleydeal.settings import Team
+from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Machine
 from pulleydeal.store.service import Store
@@ -29,6 +29,7 @@
         cloud: Cloud,
         teams: dict[str, Team],
         zones: list[str],
+        objectives: list[Objective],
         clock: Clock,
     ) -> None:
         self._membership = membership
@@ -37,6 +38,8 @@
         self._cloud = cloud
         self._teams = teams
         self._zones = zones
+        self._objectives = objectives
+        self._recent: dict[str, dict[str, tuple[float, r.JobSpec]]] = {}  # class -> job -> came
         self._clock = clock
         self._serial = 0
         self._refused: dict[plan.Kind, float] = {}
@@ -103,6 +106,10 @@
                 j.id,
             )
         )
+        for job in jobs:
+            if job.spec is not None and job.record is not None:
+                came = self._recent.setdefault(job.spec.klass, {})
+                came[job.id] = (job.record.at, job.spec)
         return plan.Demand(
             jobs,
             plan.spaces(self._replica, self._clock.wall()),
@@ -112,8 +119,22 @@
             self._teams,
             self._zones,
             set(self._refused),
+            self._spare(),
         )
 
+    def _spare(self) -> list[r.JobSpec]:
+        """Room kept free for jobs that must start sooner than a machine boots."""
+        wall = self._clock.wall()
+        boot_s = max((t.boot_s for t in self._replica.types.values()), default=0.0)
+        classes, guarantee = plan.prompt_classes(self._objectives, boot_s)
+        found: list[r.JobSpec] = []
+        for klass, came in self._recent.items():
+            for job in [j for j, (at, _) in came.items() if wall - at > c.ARRIVALS_S]:
+                del came[job]
+            if klass in classes or guarantee:
+                found += plan.spare(sorted(came.values(), key=lambda x: x[0]), wall, boot_s)
+        return found
+
     async def _ask(self, name: str) -> None:
         rental = self._replica.rentals.get(name)
         if rental is None:
--- a/pulleydeal/settings.py
+++ b/pulleydeal/settings.py
@@ -59,6 +59,12 @@
     max_sockets: Annotated[int, Meta(ge=32)] = 512
 
 
+class Objective(Struct):
+    kind: str
+    klass: str = msgspec.field(name="class", default="")
+    within_s: float | None = None
+
+
 class Deployment(Struct):
     zones: Annotated[list[Name], Meta(min_length=1)]
     teams: list[Team]
@@ -67,6 +73,7 @@
     cloud: CloudLimits
     machine_limits: MachineLimits = msgspec.field(default_factory=MachineLimits)
     clock_error_ms: NonNegative = 0.0
+    objectives: list[Objective] = []
 
 
 class Settings(Struct):
