--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -307,9 +307,8 @@
             return
         if not station.trusted:
             # After a takeover: raise the token and get a report, without waiting to be found.
-            if station.addr and station.heard_at is None:
-                station.busy = True
-                self._spawn(self._order(station, [], []))
+            if station.heard_at is None:
+                self._probe(station)
             return
         if not station.addr or silent_s(station, self._clock.now()) > self._times.lease_s:
             self._plan(station)
@@ -387,12 +386,23 @@
         now = self._clock.now()
         for client in self._clients.values():
             client.drop_stale()
+        report_s = self._times.report_s
+        silent = [
+            s
+            for s in self.stations.values()
+            if silent_s(s, now) > c.SILENT_RETURN_REPORTS * report_s
+        ]
+        # Many at once look like trouble of our own: then only the lease decides.
+        suspect = len(silent) > max(c.SILENT_FEW, len(self.stations) * c.SILENT_SHARE)
+        limit = self._times.lease_s if suspect else c.SILENT_RETURN_REPORTS * report_s
         for station in list(self.stations.values()):
+            if silent_s(station, now) > c.PROBE_REPORTS * report_s:
+                self._probe(station)
             record = self._replica.machines.get(station.id)
             if record is None or record.record.state != "up":
                 continue
             why = ""
-            if silent_s(station, now) > c.SILENT_RETURN_LEASES * self._times.lease_s:
+            if silent_s(station, now) > limit:
                 why = "silent"
             elif is_sick(station, now):
                 why = "sick"
@@ -402,6 +412,12 @@
             if why and why != "notice":
                 await self.mark(station.id, why)
 
+    def _probe(self, station: Station) -> None:
+        """Asks a machine whose reports stay out: silence alone may be a lost packet's."""
+        if station.addr and not station.busy:
+            station.busy = True
+            self._spawn(self._order(station, [], []))
+
     async def mark(self, machine: str, why: str) -> None:
         old = self._replica.machines[machine]
         record = msgspec.structs.replace(old.record, state="drain", why=why, at=self._clock.wall())
--- /dev/null
+++ b/standins/net.py
@@ -0,0 +1,240 @@
+"""A virtual clock and an in-memory network for asyncio streams.
+
+The loop never sleeps: when nothing is ready, its time jumps to the next timer. Connections
+made on it run through `Network`, which delays, holds back, resets and loses.
+"""
+
+import asyncio
+import contextvars
+import random
+from collections.abc import Callable
+from typing import Any
+
+HOST: contextvars.ContextVar["Host"] = contextvars.ContextVar("host")
+
+
+class Host:
+    """One machine of the simulated world; killing it ends everything that runs there."""
+
+    def __init__(self, ip: str, zone: str) -> None:
+        self.ip = ip
+        self.zone = zone
+        self.alive = True
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.pipes: set[Pipe] = set()
+
+
+class _Timers:
+    """In place of a selector: waiting means moving the clock."""
+
+    def __init__(self, loop: "VirtualLoop") -> None:
+        self._loop = loop
+
+    def select(self, timeout: float | None) -> list[Any]:
+        if timeout is None:
+            raise RuntimeError("nothing is left that could ever happen")
+        self._loop.clock += timeout
+        return []
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    def __init__(self, network: "Network") -> None:
+        super().__init__()
+        self.clock = 0.0
+        self._selector = _Timers(self)
+        self._network = network
+        network.loop = self
+        self.set_task_factory(_task_on_host)
+
+    def time(self) -> float:
+        return self.clock
+
+    def _process_events(self, event_list: list[Any]) -> None:
+        """There are no file descriptors here."""
+
+    def _write_to_self(self) -> None:
+        """Nor is there another thread."""
+
+    async def create_server(
+        self, factory: Any, host: Any = None, port: Any = None, **_: Any
+    ) -> Any:
+        listener = Listener(self._network, factory, (host, port), contextvars.copy_context())
+        self._network.listeners[(host, port)] = listener
+        return listener
+
+    async def create_connection(
+        self, factory: Any, host: Any = None, port: Any = None, **_: Any
+    ) -> Any:
+        return await self._network.connect(factory, (host, port))
+
+
+def _task_on_host(loop: Any, coro: Any, context: Any = None) -> "asyncio.Task[Any]":
+    task = asyncio.Task(coro, loop=loop, context=context)
+    host = HOST.get(None)
+    if host is not None:
+        host.tasks.add(task)
+        task.add_done_callback(host.tasks.discard)
+    return task
+
+
+class Listener:
+    def __init__(
+        self,
+        network: "Network",
+        factory: Any,
+        address: tuple[str, int],
+        context: contextvars.Context,
+    ) -> None:
+        self.network = network
+        self.factory = factory
+        self.address = address
+        self.context = context
+        self.host = context[HOST]
+
+    def close(self) -> None:
+        self.network.listeners.pop(self.address, None)
+
+
+class Network:
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.loop: VirtualLoop
+        self.listeners: dict[tuple[str, int], Listener] = {}
+        self._held: list[tuple[Pipe, Callable[[], None]]] = []
+        self._cut: Callable[[Host, Host], bool] = lambda a, b: False
+
+    def blocked(self, a: Host, b: Host) -> bool:
+        return a is not b and (self._cut(a, b) or self._cut(b, a))
+
+    def cut(self, between: Callable[[Host, Host], bool]) -> None:
+        """Holds back whatever goes between hosts for which `between` is true."""
+        self._cut = between
+
+    def heal(self) -> None:
+        """Delivers in order what was held back, even from connections given up meanwhile."""
+        self._cut = lambda a, b: False
+        held, self._held = self._held, []
+        for pipe, deliver in held:
+            pipe.later(deliver)
+
+    def hold(self, pipe: "Pipe", deliver: Callable[[], None]) -> None:
+        self._held.append((pipe, deliver))
+
+    def kill(self, host: Host) -> None:
+        host.alive = False
+        for listener in [x for x in self.listeners.values() if x.host is host]:
+            listener.close()
+        for pipe in list(host.pipes):
+            pipe.die()
+        for task in list(host.tasks):
+            task.cancel()
+
+    async def connect(self, factory: Any, address: tuple[str, int]) -> Any:
+        me = HOST.get()
+        await asyncio.sleep(self.rng.uniform(0.0002, 0.001))
+        listener = self.listeners.get(address)
+        if listener is None:
+            raise ConnectionRefusedError(address)
+        if self.blocked(me, listener.host) or not listener.host.alive:
+            await asyncio.get_running_loop().create_future()  # hangs, without an error
+        mine = Pipe(self, me, factory(), contextvars.copy_context())
+        theirs = Pipe(self, listener.host, listener.factory(), listener.context.copy())
+        mine.peer, theirs.peer = theirs, mine
+        theirs.call(theirs.protocol.connection_made, theirs)
+        mine.protocol.connection_made(mine)
+        return mine, mine.protocol
+
+
+class Pipe(asyncio.Transport):
+    """One end of a connection."""
+
+    peer: "Pipe"
+
+    def __init__(self, network: Network, host: Host, protocol: Any, context: Any) -> None:
+        super().__init__()
+        self.network = network
+        self.host = host
+        self.protocol = protocol
+        self.context = context
+        self.closing = False
+        self.next_at = 0.0
+        host.pipes.add(self)
+
+    def call(self, function: Callable[..., Any], *args: Any) -> None:
+        if self.host.alive:
+            self.network.loop.call_soon(function, *args, context=self.context)
+
+    def later(self, deliver: Callable[[], None]) -> None:
+        loop = self.network.loop
+        at = max(self.next_at, loop.time() + self.network.rng.uniform(0.0002, 0.002))
+        self.next_at = at
+        loop.call_at(at, self._arrive, deliver)
+
+    def _arrive(self, deliver: Callable[[], None]) -> None:
+        if self.network.blocked(self.host, self.peer.host):
+            self.network.hold(self, deliver)
+        else:
+            deliver()
+
+    def write(self, data: Any) -> None:
+        if not self.closing and self.host.alive:
+            self.later(lambda: self.peer.receive(bytes(data)))
+
+    def receive(self, data: bytes) -> None:
+        if not self.closing:
+            self.call(self._data, data)
+
+    def _data(self, data: bytes) -> None:
+        if not self.closing:
+            self.protocol.data_received(data)
+
+    def close(self) -> None:
+        if not self.closing:
+            self.closing = True
+            self.host.pipes.discard(self)
+            if self.host.alive:
+                self.later(lambda: self.peer.ended(None))
+                self.call(self.protocol.connection_lost, None)
+
+    abort = close
+
+    def die(self) -> None:
+        """The process is killed: its kernel says goodbye if the network lets it."""
+        if not self.closing:
+            self.closing = True
+            self.host.pipes.discard(self)
+            self.later(lambda: self.peer.ended(ConnectionResetError()))
+
+    def ended(self, error: Exception | None) -> None:
+        if not self.closing:
+            self.closing = True
+            self.host.pipes.discard(self)
+            self.call(self.protocol.connection_lost, error)
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def set_protocol(self, protocol: Any) -> None:
+        self.protocol = protocol
+
+    def get_protocol(self) -> Any:
+        return self.protocol
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+    def pause_reading(self) -> None:
+        """Messages here are small; nothing needs to wait."""
+
+    def resume_reading(self) -> None:
+        """See pause_reading."""
+
+
+def on_host(host: Host, coro: Any) -> "asyncio.Task[Any]":
+    """Starts a coroutine as something that runs on `host`."""
+    context = contextvars.copy_context()
+    context.run(HOST.set, host)
+    return context.run(asyncio.ensure_future, coro)
--- /dev/null
+++ b/standins/scenario.py
@@ -0,0 +1,294 @@
+"""Plays a readable scenario against three whole nodes and the stand-ins, by a virtual clock.
+
+A scenario is a text file, one event a line: a time in seconds, a verb, its words.
+  submit JOB KIND TASKS RUN_S [name=value ...]   a user submits (and repeats until answered)
+  cancel JOB          | poll JOB                  | resubmit JOB
+  crash NODE [FOR_S]  | crash all [FOR_S]         | state down|up | state refuse NODE|none
+  cloud down|up       | cut ZONE ZONE | cut BLOCK | heal | lose SHARE
+  die BLOCK | sick BLOCK | notice BLOCK SECONDS
+  expect JOB STATE    | expect machines COUNT | expect starts COUNT
+"""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pulleydeal.app import App
+from pulleydeal.http import Client, NoAnswer
+from pulleydeal.settings import Settings
+from standins.cloud import CloudService
+from standins.net import Host, Network, VirtualLoop, on_host
+from standins.rules import Rules
+from standins.state import StateService
+from standins.worker import Times, Worker, World
+
+ZONES = ["east", "west", "north"]
+TYPE = {
+    "name": "t4",
+    "vcpus": 16.0,
+    "accelerators": 4.0,
+    "ram_gb": 64.0,
+    "cache_gb": 100.0,
+    "fetch_gb_per_s": 0.5,
+    "hourly": 4.0,
+    "market_price": 1.0,
+    "ready_s": 20.0,
+    "yards": ZONES,
+}
+CANCEL_S = 34.0
+RESTART_S = 5.0
+TEAMS = {"core": 0.0, "small": 4.0}  # team -> most accelerators
+
+
+class LoopClock:
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+
+    def now(self) -> float:
+        return self._loop.time()
+
+    def wall(self) -> float:
+        return 1.7e9 + self._loop.time()
+
+
+class Scenario:
+    def __init__(self, loop: VirtualLoop, network: Network, seed: int) -> None:
+        self._loop, self._network, self._seed = loop, network, seed
+        self._clock = LoopClock(loop)
+        self.rules = Rules(TEAMS, CANCEL_S, loop.time)
+        self._world = World(self.rules, self.rules.uploads)
+        self._nodes = {f"winch-{i}": f"10.0.0.{i + 1}" for i in range(3)}
+        self._hosts: dict[str, Host] = {}
+        self._workers: dict[str, Worker] = {}
+        self._regional = Host("10.2.0.0", "")
+        self._users = Host("10.3.0.1", "")
+        self.failures: list[str] = []
+
+    # --- the world ------------------------------------------------------------------------
+    def start(self) -> None:
+        on_host(self._regional, self._start_regional())
+        for name in self._nodes:
+            self._start_node(name)
+
+    async def _start_regional(self) -> None:
+        self.state = StateService(self._seed)
+        capacity = {(zone, spot): 4 for zone in ZONES for spot in (False, True)}
+        self.cloud = CloudService([TYPE], capacity, self._clock, self._boot, self._stop)
+        await asyncio.gather(self.state.run("10.2.0.1:2379"), self.cloud.run("10.2.0.2:8443"))
+
+    def _start_node(self, name: str) -> None:
+        index = int(name.rpartition("-")[2])
+        host = self._hosts[name] = Host(self._nodes[name], ZONES[index])
+        rng = random.Random(f"{self._seed} {name} {self._loop.time()}")
+        on_host(host, App(self._settings(name), self._clock, rng).run())
+
+    def _settings(self, name: str) -> Settings:
+        zones = dict(zip(self._nodes, ZONES, strict=True))
+        raw = {
+            "node_name": name,
+            "zone": zones[name],
+            "api_addr": f"{self._nodes[name]}:8080",
+            "back": f"{self._nodes[name]}:8081",
+            "siblings": [
+                {"node_name": n, "zone": zones[n], "endpoint": f"{ip}:8081"}
+                for n, ip in self._nodes.items()
+                if n != name
+            ],
+            "endpoints": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+            "deployment": {
+                "zones": ZONES,
+                "teams": [{"name": t, "gpus_max": most} for t, most in TEAMS.items()],
+                "workers": {
+                    "report_s": 3.0,
+                    "lease_s": 14.0,
+                    "gang_wait_s": 50.0,
+                    "gang_peer_s": 8.0,
+                    "cancel_s": CANCEL_S,
+                },
+                "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 32},
+                "cloud": {"rps": 4.0, "list_lag_s": 5.0},
+            },
+        }
+        return msgspec.convert(raw, Settings)
+
+    def _boot(self, block: str, kind: dict[str, Any], yard: str, loaners: bool) -> str:
+        number = int(block.rpartition("-")[2])
+        ip = f"10.1.{number // 250}.{number % 250 + 1}"
+        host = self._hosts[block] = Host(ip, yard)
+        nodes = {n: f"{ip_}:8080" for n, ip_ in self._nodes.items()}
+        worker = self._workers[block] = Worker(
+            block,
+            f"{ip}:9000",
+            kind,
+            yard,
+            loaners,
+            nodes,
+            self._world,
+            Times(),
+            self._clock,
+            f"{self._seed} {block}",
+        )
+        on_host(host, worker.run())
+        return worker.addr
+
+    def _stop(self, block: str) -> None:
+        worker = self._workers.pop(block, None)
+        if worker is not None:
+            worker.vanish()
+            self._network.kill(self._hosts.pop(block))
+
+    # --- users ------------------------------------------------------------------------------
+    async def _ask(self, method: str, job: str, path: str, body: object = None) -> str:
+        """Asks one node after the other until one decides; returns the state it told."""
+        for turn in range(30):
+            name = sorted(self._nodes)[turn % len(self._nodes)]
+            client = Client(f"{self._nodes[name]}:8080", self._clock)
+            try:
+                status, reply = await client.request(method, path, body, 5.0)
+            except NoAnswer:
+                status, reply = 0, b""
+            client.close()
+            state = json.loads(reply).get("tension", "") if reply else ""
+            if state == "cancelled" and path.endswith("/cancel"):
+                self.rules.asked_cancel(job, told=True)
+            self.rules.told(job, status, state, self._world.results)
+            if status in (200, 201, 400, 404, 422):
+                return state or str(status)
+            await asyncio.sleep(1.0)
+        return "no answer"
+
+    def _submission(self, job: str, kind: str, tasks: str, run_s: str, more: list[str]) -> Any:
+        body = {
+            "name_id": job,
+            "rig": f"{kind}s",
+            "crew": "core",
+            "haul": kind,
+            "urgency": {"standing": "prod", "gang": "high"}.get(kind, "standard"),
+            "lifts": int(tasks),
+            "vcpus": 4.0,
+            "accelerators": 1.0,
+            "ram_gb": 8.0,
+            "tackle": "img-1",
+            "pull_gb": 1.0,
+            "rig_models": None,
+            "yard": None,
+            "same_place": kind == "gang",
+            "spread": kind == "standing",
+            "loaners": kind != "standing",
+            "haul_s": float(run_s),
+            "belay_s": 5.0,
+            "stow_s": 1.0,
+            "due_s": None,
+            "_run_s": float(run_s),
+        }
+        for word in more:
+            name, _, value = word.partition("=")
+            body[name] = json.loads(value) if value[:1] in "0123456789tfn" else value
+        return body
+
+    # --- events -----------------------------------------------------------------------------
+    async def play(self, text: str) -> None:
+        for line in text.splitlines():
+            words = line.partition("#")[0].split()
+            if not words:
+                continue
+            await asyncio.sleep(max(0.0, float(words[0]) - self._loop.time()))
+            self.rules.check_cancelled()
+            verb: Callable[..., Any] = getattr(self, f"do_{words[1]}")
+            verb(*words[2:])
+        self.rules.check_cancelled()
+
+    def do_submit(self, job: str, kind: str, tasks: str, run_s: str, *more: str) -> None:
+        body = self._submission(job, kind, tasks, run_s, list(more))
+        self.rules.uploads[job] = body
+        on_host(self._users, self._ask("POST", job, "/submissions", body))
+
+    def do_resubmit(self, job: str) -> None:
+        body = self.rules.uploads[job]
+        on_host(self._users, self._ask("POST", job, "/submissions", body))
+
+    def do_poll(self, job: str) -> None:
+        on_host(self._users, self._ask("GET", job, f"/submissions/{job}"))
+
+    def do_cancel(self, job: str) -> None:
+        self.rules.asked_cancel(job, told=False)
+        on_host(self._users, self._ask("POST", job, f"/submissions/{job}/cancel"))
+
+    def do_crash(self, name: str, for_s: str = str(RESTART_S)) -> None:
+        for node in self._nodes if name == "all" else [name]:
+            self._network.kill(self._hosts[node])
+            self._loop.call_later(float(for_s), self._start_node, node)
+
+    def do_state(self, what: str, node: str = "none") -> None:
+        self.state.set_down(what == "down")
+
+    def do_cloud(self, what: str) -> None:
+        self.cloud.down = what == "down"
+
+    def do_lose(self, share: str) -> None:
+        self.state.lose = float(share)
+
+    def do_cut(self, a: str, b: str = "") -> None:
+        if b:
+            self._network.cut(lambda x, y: x.zone == a and y.zone == b)
+        else:
+            host = self._hosts[a]
+            self._network.cut(lambda x, y: x is host)
+
+    def do_heal(self) -> None:
+        self._network.heal()
+
+    def do_die(self, block: str) -> None:
+        self._workers[block].vanish()
+        self._network.kill(self._hosts[block])
+
+    def do_sick(self, block: str) -> None:
+        self._workers[block].sick = True
+
+    def do_notice(self, block: str, seconds: str) -> None:
+        self._workers[block].reclaim_at = self._loop.time() + float(seconds)
+        self._loop.call_later(float(seconds), self.cloud.remove, block)
+
+    def do_expect(self, what: str, value: str) -> None:
+        if what == "machines":
+            self._expect(f"{len(self.cloud.blocks)} machines", f"{value} machines")
+        elif what == "starts":
+            self._expect(f"{self.rules.starts} starts", f"{value} starts")
+        else:
+            on_host(self._users, self._expect_state(what, value))
+
+    async def _expect_state(self, job: str, wanted: str) -> None:
+        told = await self._ask("GET", job, f"/submissions/{job}")
+        self._expect(f"{job} is {told}", f"{job} is {wanted}")
+
+    def _expect(self, found: str, wanted: str) -> None:
+        if found != wanted:
+            self.failures.append(f"{self._loop.time():.1f}: {found}, not: {wanted}")
+
+
+def play(path: Path, seed: int) -> Scenario:
+    """Plays a scenario file; the rules and expectations it broke are left in the result."""
+    network = Network(seed)
+    loop = VirtualLoop(network)
+    asyncio.set_event_loop(loop)
+    scenario = Scenario(loop, network, seed)
+
+    async def run() -> None:
+        scenario.start()
+        await asyncio.sleep(0.01)
+        await scenario.play(path.read_text())
+        await asyncio.sleep(3.0)
+
+    try:
+        loop.run_until_complete(run())
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+    return scenario
--- /dev/null
+++ b/standins/state.py
@@ -0,0 +1,174 @@
+"""A state service by PROTOCOL: marks, transactions, holds, watches, outages, late answers."""
+
+import asyncio
+import json
+import random
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from pulleydeal.http import Request, Response, Server, answer
+
+KEPT_CHANGES = 10_000
+
+
+class StateService:
+    def __init__(self, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self.ledger = 0
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}  # data, mark, charter
+        self._holds: dict[int, list[float]] = {}  # charter -> [ends, ttl]
+        self._log: list[dict[str, Any]] = []
+        self._changed = asyncio.Event()
+        self.down = False
+        self.refuse: set[str] = set()  # hosts that alone get 503
+        self.lose = 0.0  # share of commits whose answer is lost; half of those apply late
+        self.server = Server(self.handle, 10_000)
+
+    async def run(self, address: str) -> None:
+        await self.server.start(address)
+        while True:
+            await asyncio.sleep(0.05)
+            if not self.down:
+                self._expire(asyncio.get_running_loop().time())
+
+    def set_down(self, down: bool) -> None:
+        if self.down and not down:
+            now = asyncio.get_running_loop().time()
+            for hold in self._holds.values():
+                hold[0] = now + hold[1]  # every lease has its full time again
+        self.down = down
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _expire(self, now: float) -> None:
+        for charter in [h for h, (ends, _) in self._holds.items() if ends < now]:
+            self._end(charter)
+
+    def _end(self, charter: int) -> None:
+        self._holds.pop(charter, None)
+        drops = [{"drop": k} for k, (_, _, held) in self.keys.items() if held == charter]
+        if drops:
+            self._apply(drops)
+
+    def _apply(self, changes: list[dict[str, Any]]) -> None:
+        self.ledger += 1
+        for change in changes:
+            if "set" in change:
+                self.keys[change["set"]] = (change["data"], self.ledger, change.get("charter"))
+                event = {"set": change["set"], "data": change["data"], "mark": self.ledger}
+            else:
+                self.keys.pop(change["drop"], None)
+                event = {"drop": change["drop"], "mark": self.ledger}
+            self._log.append(event)
+        del self._log[:-KEPT_CHANGES]
+        self._wake()
+
+    async def handle(self, request: Request) -> Response:
+        if self.down and not request.path.startswith("/watch"):
+            return answer(503, {"error": "outage"})
+        url = urlsplit(request.path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        body = json.loads(request.body) if request.body else {}
+        if url.path == "/commit":
+            return await self._commit(body)
+        if url.path == "/watch":
+            return await self._watch(query)
+        if url.path.startswith("/holds"):
+            return self._hold(request.method, url.path, body)
+        if url.path == "/store":
+            return self._page(query)
+        key = url.path.removeprefix("/store/")
+        if key not in self.keys:
+            return answer(404, {"ledger": self.ledger})
+        data, mark, charter = self.keys[key]
+        return answer(200, {"k": key, "data": data, "mark": mark, "charter": charter})
+
+    async def _commit(self, body: dict[str, Any]) -> Response:
+        if self._rng.random() < self.lose:
+            if self._rng.random() < 0.5:
+                self._transact(body)
+            else:
+                loop = asyncio.get_running_loop()
+                loop.call_later(self._rng.uniform(0.5, 8.0), self._transact, body)
+            await loop_forever()
+        return self._transact(body)
+
+    def _transact(self, body: dict[str, Any]) -> Response:
+        if self.down:
+            return answer(503, {"error": "outage"})
+        changes = body.get("apply", [])
+        for change in changes:
+            if change.get("charter") is not None and change["charter"] not in self._holds:
+                return answer(400, {"error": "no such lease"})
+        failed = [
+            check["k"]
+            for check in body.get("if", [])
+            if (self.keys[check["k"]][1] if check["k"] in self.keys else 0) != check["mark"]
+        ]
+        if failed:
+            return answer(409, {"failed": failed, "ledger": self.ledger})
+        if changes:
+            self._apply(changes)
+        return answer(200, {"ledger": self.ledger})
+
+    def _page(self, query: dict[str, str]) -> Response:
+        names = sorted(
+            k for k in self.keys if k.startswith(query["under"]) and k > query.get("after", "")
+        )
+        limit = int(query.get("limit", 1000))
+        entries = [
+            {"k": k, "data": self.keys[k][0], "mark": self.keys[k][1]} for k in names[:limit]
+        ]
+        more = len(names) > limit
+        return answer(200, {"entries": entries, "truncated": more, "ledger": self.ledger})
+
+    async def _watch(self, query: dict[str, str]) -> Response:
+        after = int(query["after"])
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(query.get("hold_ms", 0)) / 1000
+        while True:
+            if not self.down:
+                if (
+                    self._log
+                    and len(self._log) >= KEPT_CHANGES
+                    and self._log[0]["mark"] > after + 1
+                ):
+                    return answer(410, {})
+                events = [
+                    e
+                    for e in self._log
+                    if e["mark"] > after and e.get("set", e.get("drop")).startswith(query["under"])
+                ]
+                if events or loop.time() >= until:
+                    return answer(200, {"ledger": self.ledger, "events": events})
+            changed = self._changed
+            try:
+                async with asyncio.timeout(0.5 if self.down else max(0.0, until - loop.time())):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+
+    def _hold(self, method: str, path: str, body: dict[str, Any]) -> Response:
+        now = asyncio.get_running_loop().time()
+        parts = path.strip("/").split("/")
+        if len(parts) == 1:
+            ttl = body["ttl_ms"] / 1000
+            charter = max(self._holds, default=0) + 1
+            self._holds[charter] = [now + ttl, ttl]
+            return answer(200, {"charter": charter})
+        charter = int(parts[1])
+        if charter not in self._holds:
+            return answer(404, {})
+        if method == "DELETE":
+            self._end(charter)
+        else:
+            self._holds[charter][0] = now + self._holds[charter][1]
+        return answer(200, {"charter": charter})
+
+
+async def loop_forever() -> None:
+    """Never answers."""
+    await asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,266 @@
+"""A worker by PROTOCOL: reports, tokens, leases, commands, gangs, saving, refusals."""
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass, field
+from typing import Any
+
+from pulleydeal.clock import Clock
+from pulleydeal.http import Client, NoAnswer, Request, Response, Server, answer
+from standins.rules import Rules
+
+
+@dataclass
+class Running:
+    job: dict[str, Any]
+    pull: int
+    tension: str
+    why: str | None = None
+    saved: bool = False
+    left_s: float = 0.0
+    ready_at: float = 0.0
+    stop_at: float | None = None
+    waits_from: float = 0.0
+
+
+@dataclass
+class Times:
+    report_s: float = 3.0
+    lease_s: float = 14.0
+    gang_wait_s: float = 50.0
+    gang_peer_s: float = 8.0
+
+
+@dataclass
+class World:
+    """What workers know from elsewhere: uploaded jobs, results, each other's gangs."""
+
+    rules: Rules
+    uploads: dict[str, dict[str, Any]] = field(default_factory=dict)
+    results: set[str] = field(default_factory=set)
+    progress: dict[str, float] = field(default_factory=dict)
+    gangs: dict[tuple[str, int], dict[str, Running]] = field(default_factory=dict)
+
+
+class Worker:
+    def __init__(
+        self,
+        block: str,
+        addr: str,
+        kind: dict[str, Any],
+        yard: str,
+        loaners: bool,
+        nodes: dict[str, str],
+        world: World,
+        times: Times,
+        clock: Clock,
+        seed: str,
+    ) -> None:
+        self.block, self.addr, self.kind = block, addr, kind
+        self.yard, self.loaners = yard, loaners
+        self._nodes, self._names = nodes, sorted(nodes)
+        self._world, self._times, self._clock = world, times, clock
+        self._rng = random.Random(seed)
+        self._at = self._rng.choice(self._names)
+        self.shift, self.tally, self.whistle = 1, 0, 0
+        self.lifts: dict[str, Running] = {}
+        self._images: set[str] = set()
+        self._renewed = clock.now()
+        self._soon = asyncio.Event()
+        self._server = Server(self.handle, 1000)
+        self.sick = False
+        self.gone = False
+        self.reclaim_at: float | None = None
+
+    async def run(self) -> None:
+        await self._server.start(self.addr)
+        await asyncio.gather(self._reporting(), self._ticking())
+
+    def vanish(self) -> None:
+        self.gone = True
+        for lift in list(self.lifts):
+            self._off(lift)
+
+    def report(self) -> dict[str, Any]:
+        self.tally += 1
+        now = self._clock.now()
+        reclaim = None if self.reclaim_at is None else max(0.0, self.reclaim_at - now)
+        return {
+            "block": self.block,
+            "addr": self.addr,
+            "rig_model": self.kind["name"],
+            "yard": self.yard,
+            "loaners": self.loaners,
+            "shift": self.shift,
+            "tally": self.tally,
+            "whistle": self.whistle,
+            "reclaim_s": reclaim,
+            "lifts": [
+                {"lift": k, "pull": r.pull, "tension": r.tension}
+                | ({"slack_reason": r.why, "saved": r.saved} if r.tension == "exited" else {})
+                for k, r in self.lifts.items()
+            ],
+        }
+
+    # --- reports ----------------------------------------------------------------------------
+    async def _reporting(self) -> None:
+        clients = {name: Client(address, self._clock) for name, address in self._nodes.items()}
+        while True:
+            shift, sent = self.shift, self._clock.now()
+            wait = 1.0
+            try:
+                status, body = await clients[self._at].request(
+                    "POST", "/checkin", self.report(), 4.0
+                )
+                reply = json.loads(body)
+            except NoAnswer:
+                status, reply = 0, {}
+            if status == 200:
+                wait = self._times.report_s * self._rng.uniform(0.75, 1.25)
+                if shift == self.shift and reply.get("whistle", -1) >= self.whistle:
+                    if reply["whistle"] > self.whistle:
+                        self.whistle = reply["whistle"]
+                        self._soon.set()
+                    self._renewed = sent
+                    self.execute(reply["calls"])
+            elif status == 421 and reply.get("foreman") in set(self._names) - {self._at}:
+                self._at = reply["foreman"]
+                wait = self._rng.uniform(0.0, 0.5)
+            else:
+                self._at = self._names[(self._names.index(self._at) + 1) % len(self._names)]
+            try:
+                async with asyncio.timeout(wait):
+                    if status == 200:
+                        await self._soon.wait()
+                        await asyncio.sleep(0.5)
+                    else:
+                        await asyncio.sleep(wait)
+            except TimeoutError:
+                pass
+            self._soon.clear()
+
+    async def handle(self, request: Request) -> Response:
+        if request.path == "/inspect":
+            return answer(200, self.report())
+        body = json.loads(request.body)
+        if "whistle" not in body or "shift" not in body:
+            return answer(400, {})
+        if body["whistle"] < self.whistle or body["shift"] != self.shift:
+            return answer(409, self.report())
+        if body["whistle"] > self.whistle:
+            self.whistle = body["whistle"]
+        self.execute(body["calls"])
+        self._soon.set()
+        return answer(200, self.report())
+
+    # --- commands ---------------------------------------------------------------------------
+    def execute(self, calls: list[dict[str, Any]]) -> None:
+        for call in calls:
+            lift, pull = call["lift"], call["pull"]
+            old = self.lifts.get(lift)
+            if call["call"] == "run":
+                self._run(lift, pull, old)
+            elif old is None or old.pull != pull:
+                continue
+            elif call["call"] == "clear" and old.tension == "exited":
+                del self.lifts[lift]
+            elif call["call"] == "kill" and old.tension != "exited":
+                self._kill(lift, old, call["ease_s"])
+
+    def _run(self, lift: str, pull: int, old: Running | None) -> None:
+        name = lift.rpartition("/")[0]
+        job = self._world.uploads.get(name)
+        if old is not None and (old.pull == pull or old.tension != "exited"):
+            return  # known already; another attempt's start is refused as in_use
+        if job is None:
+            self.lifts[lift] = Running({}, pull, "exited", "no_such")
+            return
+        live = [r.job for r in self.lifts.values() if r.tension != "exited"] + [job]
+        if any(
+            sum(j[x] for j in live) > self.kind[x] + 1e-6
+            for x in ("vcpus", "accelerators", "ram_gb")
+        ):
+            self.lifts[lift] = Running(job, pull, "exited", "full")
+            return
+        fetch = 0.0 if job["tackle"] in self._images else job["pull_gb"] / 0.5
+        running = Running(job, pull, "fetching", left_s=job["_run_s"])
+        running.ready_at = self._clock.now() + fetch
+        self.lifts[lift] = running
+        self._tick()
+
+    def _kill(self, lift: str, running: Running, ease_s: float) -> None:
+        job = running.job
+        saves = running.tension == "running" and job["belay_s"] > 0 and ease_s >= job["stow_s"]
+        if saves:
+            running.tension = "flushing"
+            running.stop_at = self._clock.now() + job["stow_s"]
+        else:
+            self._exit(lift, running, "stopped")
+
+    def _exit(self, lift: str, running: Running, why: str, saved: bool = False) -> None:
+        self._off(lift)
+        running.tension, running.why, running.saved = "exited", why, saved
+        if why == "done":
+            self._world.results.add(lift)
+        self._soon.set()
+
+    def _off(self, lift: str) -> None:
+        running = self.lifts[lift]
+        if running.tension in ("gathering", "running", "flushing"):
+            self._world.rules.off(lift, self.block)
+        key = (lift.rpartition("/")[0], running.pull)
+        self._world.gangs.get(key, {}).pop(lift, None)
+
+    # --- time -------------------------------------------------------------------------------
+    async def _ticking(self) -> None:
+        while not self.gone:
+            await asyncio.sleep(0.1)
+            self._tick()
+
+    def _tick(self) -> None:
+        now = self._clock.now()
+        if now - self._renewed > self._times.lease_s:
+            for lift in list(self.lifts):
+                self._off(lift)
+            self.lifts.clear()
+            self.shift += 1
+            self._renewed = now
+            self._soon.set()
+        for lift, running in list(self.lifts.items()):
+            self._advance(lift, running, now)
+
+    def _advance(self, lift: str, r: Running, now: float) -> None:
+        if r.tension == "fetching" and now >= r.ready_at:
+            self._images.add(r.job["tackle"])
+            self._world.rules.on(lift, self.block, self.kind["name"], self.yard, self.loaners)
+            r.tension = "running"
+            if self.sick:
+                self._exit(lift, r, "error")
+                return
+            if lift in self._world.results:
+                self._exit(lift, r, "done")
+                return
+            if r.job["haul"] == "gang":
+                r.tension, r.waits_from = "gathering", now
+                gang = self._world.gangs.setdefault((r.job["name_id"], r.pull), {})
+                gang[lift] = r
+                if len(gang) == r.job["lifts"]:
+                    for member in gang.values():
+                        member.tension = "running"
+            self._soon.set()
+        elif r.tension == "gathering" and now - r.waits_from > self._times.gang_wait_s:
+            self._exit(lift, r, "incomplete")
+        elif r.tension == "running":
+            r.left_s -= 0.1
+            gang = self._world.gangs.get((r.job["name_id"], r.pull), {})
+            if (
+                r.job["haul"] == "gang"
+                and len(gang) < r.job["lifts"]
+                and not any(k.startswith(r.job["name_id"] + "/") for k in self._world.results)
+            ):
+                self._exit(lift, r, "peers")
+            elif r.left_s <= 0 and r.job["haul"] != "standing":
+                self._exit(lift, r, "done")
+        elif r.tension == "flushing" and r.stop_at is not None and now >= r.stop_at:
+            self._exit(lift, r, "stopped", saved=True)
--- /dev/null
+++ b/tests/test_credits.py
@@ -0,0 +1,134 @@
+"""The credit queue: who gets which credit, and what makes room."""
+
+from pulleydeal.credits.messages import (
+    Ask,
+    Free,
+    Hold,
+    Need,
+    pack_ask,
+    pack_free,
+    pack_hold,
+    unpack_ask,
+    unpack_free,
+    unpack_hold,
+)
+from pulleydeal.credits.queue import (
+    Credit,
+    CreditQueue,
+    Room,
+    Victim,
+    Waiting,
+    choose_victims,
+    order,
+)
+from pulleydeal.membership.messages import Beat, Total, pack_beat, unpack_beat
+
+
+def ask(gpus: float = 1.0, priority: int = 1, **more: object) -> Ask:
+    values: dict[str, object] = {
+        "epoch": 3,
+        "job": "j-1",
+        "index": 4,
+        "need": Need(1.0, gpus, 1.0),
+        "priority": priority,
+        "guaranteed": False,
+        "gang": False,
+        "spot": True,
+        "team": "core",
+        "image": "img",
+        "types": [],
+        "zones": ["east", "west"],
+    }
+    return Ask(**(values | more))  # type: ignore[arg-type]
+
+
+def credit(name: str, gpus: float, **more: object) -> Credit:
+    return Credit(name, "t4", "east", False, Room(9.0, gpus, 9.0), **more)  # type: ignore[arg-type]
+
+
+def queue(*credits: Credit) -> CreditQueue:
+    q = CreditQueue()
+    q.refresh({x.machine: x for x in credits})
+    return q
+
+
+def victim(
+    job: str, priority: int, gpus: float = 1.0, over: bool = False, loss: float = 1.0
+) -> Victim:
+    return Victim(job, 0, 1, Need(1.0, gpus, 1.0), priority, loss, over, "guest")
+
+
+def test_the_first_fitting_credit_is_taken_and_keeps_its_place() -> None:
+    q = queue(credit("a", 0.0), credit("b", 2.0), credit("c", 2.0))
+    found = q.probe(ask(), ready=False)
+    assert found is not None and found.machine == "b"
+    found.room.take(ask().need)
+    q.refresh({x.machine: x for x in (credit("c", 2.0), credit("b", 1.0), credit("d", 4.0))})
+    assert [x.machine for x in q] == ["b", "c", "d"]
+
+
+def test_a_fitting_credit_behind_the_first_few_is_still_found() -> None:
+    q = queue(*(credit(f"m{i}", 1.0) for i in range(7)), credit("big", 4.0))
+    found = q.probe(ask(gpus=4.0), ready=False)
+    assert found is not None and found.machine == "big"
+
+
+def test_a_machine_with_the_image_is_found_first() -> None:
+    q = queue(credit("a", 1.0), credit("b", 1.0, images=frozenset({"img"})))
+    found = q.probe(ask(), ready=True)
+    assert found is not None and found.machine == "b"
+    assert queue(credit("a", 1.0)).probe(ask(), ready=True) is None
+
+
+def test_what_a_job_may_not_use_is_no_credit_for_it() -> None:
+    spot = credit("s", 4.0)
+    spot.spot = True
+    assert queue(spot).probe(ask(spot=False), ready=False) is None
+    assert queue(credit("a", 4.0)).probe(ask(zones=["west"]), ready=False) is None
+    assert queue(credit("a", 4.0)).probe(ask(avoid=["a"]), ready=False) is None
+    assert queue(credit("a", 4.0, reserved=("j-9", 0))).probe(ask(), ready=False) is None
+    assert queue(credit("a", 4.0, reserved=("j-1", 4))).probe(ask(), ready=False) is not None
+
+
+def test_no_credit_of_the_same_or_higher_priority_is_made_by_stopping() -> None:
+    full = credit("a", 0.0, victims=[victim("j-2", 1), victim("j-3", 2)])
+    assert choose_victims(queue(full), ask(priority=1), ready=False, below=4) is None
+    chosen = choose_victims(queue(full), ask(priority=2), ready=False, below=4)
+    assert chosen is not None and [v.job for v in chosen[1]] == ["j-2"]
+
+
+def test_borrowed_room_goes_back_to_whom_it_is_guaranteed() -> None:
+    full = credit("a", 0.0, victims=[victim("j-2", 3, over=True)])
+    assert choose_victims(queue(full), ask(priority=0), ready=False, below=4) is None
+    owed = ask(priority=0, guaranteed=True)
+    chosen = choose_victims(queue(full), owed, ready=False, below=4)
+    assert chosen is not None
+    own = ask(priority=0, guaranteed=True, team="guest")
+    assert choose_victims(queue(full), own, ready=False, below=4) is None
+
+
+def test_the_cheapest_room_is_made() -> None:
+    dear = credit("dear", 0.0, victims=[victim("j-2", 0, loss=50.0)])
+    cheap = credit("cheap", 0.0, victims=[victim("j-3", 0, loss=5.0)])
+    chosen = choose_victims(queue(dear, cheap), ask(priority=2), ready=False, below=4)
+    assert chosen is not None and chosen[0].machine == "cheap"
+
+
+def test_waiting_asks_are_served_by_priority_then_guarantee_then_age() -> None:
+    asks = [
+        Waiting(ask(priority=1), "old", 1.0, 9.0),
+        Waiting(ask(priority=1, guaranteed=True), "owed", 2.0, 9.0),
+        Waiting(ask(priority=3), "prod", 3.0, 9.0),
+    ]
+    assert [w.leader for w in sorted(asks, key=order)] == ["prod", "owed", "old"]
+
+
+def test_messages_survive_the_wire() -> None:
+    asked = ask(types=["t4"], avoid=["vm-1"], guaranteed=True)
+    assert unpack_ask(pack_ask(asked)) == asked
+    hold = Hold(3, "j-1", 4, "vm-000002", 2.5)
+    assert unpack_hold(pack_hold(hold)) == hold
+    free = Free(3, "j-1", 4)
+    assert unpack_free(pack_free(free)) == free
+    beat = Beat(9, [Total("t4", "east", True, 1.0, 2.0, 3.0, 1.0, 2.0, ["img"])], ["j-7"])
+    assert unpack_beat(pack_beat(beat)) == beat
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,71 @@
+"""Whole days in small: three nodes over the stand-ins, by a virtual clock."""
+
+from pathlib import Path
+
+import pytest
+
+from standins.rules import Rules
+from standins.scenario import play
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda p: p.stem)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_scenario(path: Path, seed: int) -> None:
+    scenario = play(path, seed)
+    assert scenario.rules.broken == []
+    assert scenario.failures == []
+    assert scenario.rules.starts > 0
+
+
+JOB = {
+    "name_id": "j-1",
+    "crew": "small",
+    "haul": "batch",
+    "lifts": 3,
+    "accelerators": 3.0,
+    "yard": None,
+    "rig_models": None,
+    "same_place": True,
+    "spread": False,
+    "loaners": False,
+}
+
+
+def broken_by(*steps: object) -> list[str]:
+    now = [0.0]
+    rules = Rules({"small": 4.0}, 34.0, lambda: now[0])
+    rules.uploads["j-1"] = JOB
+    for step in steps:
+        if isinstance(step, float):
+            now[0] = step
+        else:
+            step(rules)  # type: ignore[operator]
+    return [line.split()[1].rstrip(":") for line in rules.broken]
+
+
+def on(lift: str, block: str, yard: str = "east", spot: bool = False) -> object:
+    return lambda rules: rules.on(lift, block, "t4", yard, spot)
+
+
+def told(status: int, state: str, job: str = "j-1") -> object:
+    return lambda rules: rules.told(job, status, state, set())
+
+
+def test_the_checker_catches_each_broken_rule() -> None:
+    assert broken_by(on("j-1/0", "a"), on("j-1/0", "b")) == ["ran_twice", "quota"]
+    assert broken_by(on("j-1/0", "a", spot=True)) == ["wrong_place"]
+    assert broken_by(on("j-1/0", "a"), on("j-1/1", "b", "west"))[0] == "wrong_place"
+    assert broken_by(on("j-1/0", "a"), on("j-1/1", "b")) == ["quota"]
+    assert broken_by(told(201, "queued"), told(404, "")) == ["forgotten"]
+    assert broken_by(told(201, "queued"), told(422, "")) == ["forgotten"]
+    assert broken_by(told(200, "queued", "j-9")) == ["invented"]
+    assert broken_by(told(200, "done"))[0] == "not_done"
+    assert broken_by(told(200, "cancelled")) == ["went_back"]
+
+    def cancel(rules: Rules) -> None:
+        rules.asked_cancel("j-1", told=True)
+
+    late = (on("j-1/0", "a"), cancel, 35.0, lambda rules: rules.check_cancelled())
+    assert broken_by(*late) == ["ran_cancelled"]
--- /dev/null
+++ b/tests/test_station.py
@@ -0,0 +1,124 @@
+"""Replays tests/traces/station.txt: events in, decisions out."""
+
+from pathlib import Path
+
+import pytest
+
+from pulleydeal.store.records import JobSpec, Task
+from pulleydeal.workers import messages as m
+from pulleydeal.workers.station import Sent, Start, Station, Wanted, absorb, reconcile
+
+LEASE_S = 14.0
+STATES = {"waiting": "gathering", "saving": "flushing"}
+SPEC = JobSpec(
+    "j-1", "c", "t", "array", 1, 8, 1.0, 1.0, 1.0, "img", 1.0, checkpoint_s=5.0, save_s=2.0
+)
+
+
+def cases() -> list[tuple[str, list[str]]]:
+    found: list[tuple[str, list[str]]] = []
+    for line in (Path(__file__).parent / "traces" / "station.txt").read_text().splitlines():
+        if line.startswith("=="):
+            found.append((line.strip("= "), []))
+        elif line and not line.startswith("#"):
+            found[-1][1].append(line)
+    return found
+
+
+def start(text: str) -> Start:
+    name, _, attempt = text.partition("#")
+    job, index = m.split_task(name)
+    return job, index, int(attempt or 1)
+
+
+class Replay:
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.station = Station("vm-1", "t4", "east", False, self.now, 0, set())
+        self.wanted: dict[tuple[str, int], Wanted] = {}
+
+    def event(self, words: list[str]) -> None:
+        s, verb = self.station, words[0]
+        if verb == "own":
+            inherited = {start(w) for w in words[3:]}
+            self.station = Station("vm-1", "t4", "east", False, self.now, int(words[1]), inherited)
+        elif verb == "report":
+            self.report(words)
+        elif verb == "bind":
+            job, index, attempt = start(words[1])
+            self.wanted[(job, index)] = Wanted(Task("vm-1", attempt), SPEC, False)
+        elif verb == "unbind":
+            del self.wanted[start(words[1])[:2]]
+        elif verb == "cancel":
+            for key, want in self.wanted.items():
+                want.over = want.over or key[0] == words[1]
+        elif verb == "stop":
+            self.wanted[start(words[1])[:2]].task.stop = "for a test"
+        elif verb == "sent" and words[1] == "checkin":
+            s.sent[start(words[2])] = Sent(s.session, int(words[4]))
+        elif verb == "sent":
+            s.sent[start(words[2])] = Sent(s.session, 0, direct=True)
+        elif verb == "unanswered":
+            s.sent[start(words[1])].direct = False
+            s.sent[start(words[1])].fence = int(words[3])
+        elif verb == "answered":
+            s.answered_at = self.now
+        elif verb == "wait":
+            self.now += float(words[1])
+        else:
+            raise ValueError(words)
+
+    def report(self, words: list[str]) -> None:
+        session, seq = words[1].split(".")
+        tasks = []
+        for word in words[4:]:
+            name, _, state = word.partition("=")
+            state, _, why = state.partition(":")
+            job, index, attempt = start(name)
+            saved = why == "saved"
+            tasks.append(
+                m.ReportedTask(
+                    m.task_name(job, index),
+                    attempt,
+                    state,  # type: ignore
+                    "stopped" if saved else why or None,
+                    saved,
+                )
+            )
+        report = m.Report(
+            "vm-1",
+            "10.1.0.1:9000",
+            "t4",
+            "east",
+            False,
+            int(session),
+            int(seq),
+            int(words[3]),
+            None,
+            tasks,
+        )
+        absorb(self.station, report, self.now, checkin=True)
+
+    def decisions(self) -> list[str]:
+        plan = reconcile(self.station, self.wanted, self.now, LEASE_S)
+        said = []
+        for call in plan.calls:
+            grace = f" {call['ease_s']:g}" if call["call"] == "kill" else ""
+            said.append(f"-> {call['call']} {call['lift']}#{call['pull']}{grace}")
+        for e in plan.exits:
+            said.append(f"-> exit {e.job}/{e.index}#{e.attempt} {e.outcome}")
+        return said
+
+
+@pytest.mark.parametrize(("title", "lines"), cases(), ids=[t for t, _ in cases()])
+def test_trace(title: str, lines: list[str]) -> None:
+    replay = Replay()
+    heard: list[str] = []
+    for i, line in enumerate(lines):
+        if line.startswith("->"):
+            continue
+        replay.event(line.split())
+        heard.append(line)
+        if i + 1 == len(lines) or not lines[i + 1].startswith("own"):
+            heard += replay.decisions()
+    assert heard == lines
