--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -201,12 +201,19 @@
         for key, held in list(self._held.items()):
             if held.until < now or key in self._replica.bound.get(held.machine, {}):
                 del self._held[key]
-        for machine, (_, until) in list(self._reserved.items()):
-            if until < now:
+        for machine, (key, until) in list(self._reserved.items()):
+            # A task that went elsewhere, or may no longer run here, must not keep the room:
+            # it would neither use it nor look at any other credit until the time is up.
+            if until < now or not self._still_wanted(machine, key):
                 del self._reserved[machine]
         for machine in [m for m in self._images if m not in self._replica.machines]:
             del self._images[machine]
 
+    def _still_wanted(self, machine: str, key: TaskId) -> bool:
+        waiting = self._asks.get(key)
+        station = self._workers.stations.get(machine)
+        return waiting is not None and station is not None and station.zone in waiting.ask.zones
+
     async def work(self) -> None:
         """One round: credits are renewed and given to the asks that wait, best first."""
         try:
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -33,8 +33,7 @@
             for place in blocks.values()
         ]
         if (
-            (loaners
-            and not job["loaners"])
+            (loaners and not job["loaners"])
             or job["yard"] not in (None, yard)
             or (job["rig_models"] is not None and type_ not in job["rig_models"])
         ):
