--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -61,7 +61,6 @@
     images: frozenset[str] = frozenset()
     reserved: TaskId | None = None  # emptied for this task; nobody else may take it
     victims: list[Victim] = field(default_factory=list)
-    kept: bool = False  # an ordinary machine that something needs which can't be on spot
 
 
 @dataclass(slots=True)
@@ -82,13 +81,6 @@
     )
 
 
-def price_rank(credit: Credit, ask: Ask) -> int:
-    """Room that is paid for anyway first, then spot, then machines that could go back."""
-    if credit.kept:
-        return 0
-    return 1 if credit.spot or not ask.spot else 2
-
-
 def order(waiting: Waiting) -> tuple[int, int, float]:
     """Owed work first within its priority, then whoever waits longest."""
     return (-waiting.ask.priority, -int(waiting.ask.guaranteed), waiting.since)
@@ -113,18 +105,16 @@
     def probe(self, ask: Ask, ready: bool) -> Credit | None:
         """Looks at a few credits at a time from the head and takes the first that fits.
 
-        Three exceptions to the design, as our credits are unequal and the talk's are not. When
+        Two exceptions to the design, as our credits are unequal and the talk's are not. When
         none of the first few fits, the next few are looked at, or a fitting credit further
         back would never be found. And credits whose machines have the image (`ready`) are
-        looked at before all others: a fetch takes longer than most starts may. Among equals
-        in this, room that costs nothing more comes first.
+        looked at before all others: a fetch takes longer than most starts may.
         """
         credits = [
             credit
             for credit in self
             if allowed(credit, ask) and (not ready or ask.image in credit.images)
         ]
-        credits.sort(key=lambda x: (price_rank(x, ask), ask.image not in x.images))
         for start in range(0, len(credits), c.PROBES):
             found = _first(credits[start : start + c.PROBES], ask)
             if found is not None:
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -147,14 +147,12 @@
             return None
         room = Room(type_.cpus, type_.gpus, type_.memory)
         victims = []
-        kept = False
         bound = self._replica.bound.get(station.id, {})
         for (job_id, index), task in bound.items():
             spec = self._replica.jobs[job_id].spec
             if spec is None:
                 continue
             room.take(need_of(spec))
-            kept = kept or not (spec.spot or station.spot)
             if not task.stop and spec.priority < len(r.PRIORITIES) - 1:
                 victims.append(self._victim(job_id, index, task, spec, usage))
         for task_id, entry in station.entries.items():
@@ -174,7 +172,6 @@
             frozenset(self._images.get(station.id, ())),
             reserved[0] if reserved else None,
             victims,
-            kept,
         )
 
     def _victim(
@@ -249,28 +246,29 @@
         ask = waiting.ask
         key = (ask.job, ask.index)
         reserved = any(task_id == key for task_id, _ in self._reserved.values())
-        urgent = ask.priority >= c.ROOM_BELOW
-        credit = self._queue.probe(ask, ready=True) if urgent else None
+        credit = self._queue.probe(ask, ready=True)
         if credit is not None:
             self._hold(waiting, credit, now)
             return []
-        if not reserved and urgent and self._worth_room(ask):
+        if not reserved and self._worth_room(ask):
             # A start on a machine with the image beats an idle machine without: the fetch
             # would take longer than what the stopped tasks lose.
             chosen = choose_victims(self._queue, ask, ready=True, below=c.ROOM_BELOW)
             if chosen is not None:
                 return self._reserve(ask, *chosen, now)
-        if not reserved or not urgent:
+        if not reserved:
             credit = self._queue.probe(ask, ready=False)
             if credit is not None:
                 self._hold(waiting, credit, now)
-            elif not reserved and now - waiting.since >= c.PREEMPT_AFTER_S:
+            elif now - waiting.since >= c.PREEMPT_AFTER_S:
                 chosen = choose_victims(self._queue, ask, ready=False, below=len(r.PRIORITIES))
                 if chosen is not None:
                     return self._reserve(ask, *chosen, now)
         return []
 
     def _worth_room(self, ask: Ask) -> bool:
+        if ask.priority < c.ROOM_BELOW:
+            return False
         spec = self._replica.jobs[ask.job].spec if ask.job in self._replica.jobs else None
         rates = [t.fetch_gb_per_s for t in self._replica.types.values()]
         return spec is not None and spec.image_gb > c.WORTH_FETCH_S * max(rates, default=1.0)
