--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -22,7 +22,6 @@
     kind: Kind
     room: Room
     machine: str = ""
-    soft: Room = field(default_factory=lambda: Room(0.0, 0.0, 0.0))  # more, by stopping tasks
 
 
 @dataclass(slots=True)
@@ -70,14 +69,11 @@
         if rec.state == "boot" and wall - rec.at > c.BOOT_LATE_FACTOR * type_.boot_s:
             continue  # late: plan as if it never came
         room = Room(type_.cpus, type_.gpus, type_.memory)
-        soft = Room(0.0, 0.0, 0.0)
         for job_id, _ in replica.bound.get(machine.id, {}):
             spec = replica.jobs[job_id].spec
             if spec is not None:
                 room.take(Need(spec.cpus, spec.gpus, spec.memory))
-                if spec.spot and spec.priority < c.ROOM_BELOW:
-                    soft.give(Need(spec.cpus, spec.gpus, spec.memory))
-        found.append(Space((rec.type, rec.zone, rec.spot), room, machine.id, soft))
+        found.append(Space((rec.type, rec.zone, rec.spot), room, machine.id))
     # Fullest first, so that what is free at the end is whole machines.
     found.sort(key=lambda s: (s.room.gpus, s.room.cpus))
     return found
@@ -97,22 +93,21 @@
             if not rules.within_limit(demand.teams[spec.team], after):
                 break
             demand.usage[spec.team] = after
-            if not _put(demand, spec, used, spare=False):
+            if not _put(demand, spec, used):
                 break
     for spec in demand.spare:
         used = Counter[str]()
         for _ in range(min(left, spec.tasks)):
             left -= 1
-            if not _put(demand, spec, used, spare=True):
+            if not _put(demand, spec, used):
                 break
     return Counter(space.kind for space in demand.new)
 
 
-def _put(demand: Demand, spec: r.JobSpec, used: Counter[str], spare: bool) -> bool:
+def _put(demand: Demand, spec: r.JobSpec, used: Counter[str]) -> bool:
     need = Need(spec.cpus, spec.gpus, spec.memory)
     zones = rules.zones_allowed(spec, used, demand.zones)
-    space = _fit(demand, spec, need, zones, spare)
-    space = space or _add(demand, spec, need, zones, spare)
+    space = _fit(demand, spec, need, zones) or _add(demand, spec, need, zones)
     if space is None:
         return False
     space.room.take(need)
@@ -120,31 +115,20 @@
     return True
 
 
-def _fit(
-    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], spare: bool
-) -> Space | None:
-    """Spare room for what can't use spot may lie under tasks that can move to spot."""
+def _fit(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
     for space in demand.spaces + demand.new:
         type_, zone, spot = space.kind
         if (
             zone in zones
             and (spec.spot or not spot)
             and (spec.types is None or type_ in spec.types)
-            and (space.room.fits(need) or (spare and not spec.spot and _softly(space, need)))
+            and space.room.fits(need)
         ):
             return space
     return None
 
 
-def _softly(space: Space, need: Need) -> bool:
-    room = Room(space.room.cpus, space.room.gpus, space.room.memory)
-    room.give(Need(space.soft.cpus, space.soft.gpus, space.soft.memory))
-    return room.fits(need)
-
-
-def _add(
-    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], spare: bool
-) -> Space | None:
+def _add(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
     there = Counter(space.kind[1] for space in demand.spaces + demand.new)
     options: list[tuple[float, int, Kind]] = []
     for type_ in demand.types.values():
@@ -157,8 +141,6 @@
                 kind = (type_.name, zone, spot)
                 if (spot and not spec.spot) or kind in demand.refused:
                     continue
-                if spare and spec.spot and not spot:
-                    continue  # spare room is kept at the spot price or not at all
                 price = type_.spot_price if spot else type_.price
                 if spot and price > c.SPOT_DISCOUNT * type_.price:
                     continue
