--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -245,25 +245,30 @@
     def _serve(self, waiting: Waiting, now: float) -> list[tuple[Victim, str]]:
         ask = waiting.ask
         key = (ask.job, ask.index)
-        reserved = any(task_id == key for task_id, _ in self._reserved.values())
+        reserved = next((m for m, (k, _) in self._reserved.items() if k == key), None)
         credit = self._queue.probe(ask, ready=True)
+        if credit is None and reserved is not None:
+            # The room that was made for it, even where the image is missing.
+            own = self._queue.credits.get(reserved)
+            credit = own if own is not None and own.room.fits(ask.need) else None
         if credit is not None:
             self._hold(waiting, credit, now)
             return []
-        if not reserved and self._worth_room(ask):
+        if reserved is not None:
+            return []
+        if self._worth_room(ask):
             # A start on a machine with the image beats an idle machine without: the fetch
             # would take longer than what the stopped tasks lose.
             chosen = choose_victims(self._queue, ask, ready=True, below=c.ROOM_BELOW)
             if chosen is not None:
                 return self._reserve(ask, *chosen, now)
-        if not reserved:
-            credit = self._queue.probe(ask, ready=False)
-            if credit is not None:
-                self._hold(waiting, credit, now)
-            elif now - waiting.since >= c.PREEMPT_AFTER_S:
-                chosen = choose_victims(self._queue, ask, ready=False, below=len(r.PRIORITIES))
-                if chosen is not None:
-                    return self._reserve(ask, *chosen, now)
+        credit = self._queue.probe(ask, ready=False)
+        if credit is not None:
+            self._hold(waiting, credit, now)
+        elif now - waiting.since >= c.PREEMPT_AFTER_S:
+            chosen = choose_victims(self._queue, ask, ready=False, below=len(r.PRIORITIES))
+            if chosen is not None:
+                return self._reserve(ask, *chosen, now)
         return []
 
     def _worth_room(self, ask: Ask) -> bool:
--- /dev/null
+++ b/standins/owner.py
@@ -0,0 +1,128 @@
+"""The credit slice of one owner alone, with a replica filled by hand and a clock set by hand."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from pulleydeal.credits.messages import pack_ask, unpack_hold
+from pulleydeal.credits.service import Credits, ask_for
+from pulleydeal.membership.messages import ASK, HOLD
+from pulleydeal.metrics import Metrics
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Replica
+from pulleydeal.workers.station import Station
+
+ZONES = ["east", "west"]
+
+
+def spec(job: str, priority: int = 1, image: str = "img") -> r.JobSpec:
+    return r.JobSpec(job, "c", "core", "array", priority, 1, 1.0, 1.0, 1.0, image, 50.0)
+
+
+class _Membership:
+    """Always a member, always the same epoch."""
+
+    epoch = 3
+    is_member = True
+    me = "winch-0"
+    totals: Any = None
+
+    def send_beat(self) -> None:
+        """Nobody listens."""
+
+
+class _Siblings:
+    def __init__(self, owner: "Owner") -> None:
+        self._owner = owner
+        self.handlers: dict[int, Any] = {}
+
+    def on(self, kind: int, handler: Any) -> None:
+        self.handlers[kind] = handler
+
+    def send(self, to: str, kind: int, payload: bytes) -> None:
+        assert kind == HOLD
+        hold = unpack_hold(payload)
+        self._owner.held[f"{hold.job}/{hold.index}"] = hold.machine
+
+
+class _Workers:
+    def __init__(self, owner: "Owner") -> None:
+        self._owner = owner
+        self.stations: dict[str, Station] = {}
+        self.changed: Any = None
+
+    def silent(self, station: Station) -> bool:
+        return False
+
+    def stop(self, job: str, index: int, attempt: int, why: str) -> None:
+        self._owner.stopped.append(f"{job}/{index}")
+
+
+class Owner:
+    def __init__(self, machines: dict[str, str], gpus: float) -> None:
+        self._now = 100.0
+        self._version = 0
+        self.replica = Replica()
+        self.replica.loaded = True
+        self.held: dict[str, str] = {}
+        self.stopped: list[str] = []
+        self._siblings = _Siblings(self)
+        self._workers = _Workers(self)
+        type_ = r.MachineType("t4", 8.0, gpus, 8.0, 100.0, 0.5, 4.0, 1.0, 20.0, ZONES)
+        self._put(r.CATALOG, r.Catalog([type_]))
+        for machine, zone in machines.items():
+            record = r.MachineRecord("up", "t4", zone, False)
+            self._put(r.machine_key(machine), record)
+            station = Station(machine, "t4", zone, False, self._now, 0, set())
+            station.heard_at = self._now
+            self._workers.stations[machine] = station
+        membership: Any = _Membership()
+        siblings: Any = self._siblings
+        workers: Any = self._workers
+        self._credits = Credits(membership, siblings, self.replica, workers, {}, self, Metrics())
+
+    def now(self) -> float:
+        return self._now
+
+    def wall(self) -> float:
+        return self._now
+
+    def pass_time(self, seconds: float) -> None:
+        self._now += seconds
+
+    def _put(self, key: str, value: object) -> None:
+        self._version += 1
+        raw = msgspec.Raw(msgspec.json.encode(value))
+        event = m.Event(self._version, key, None, raw)
+        self.replica.apply(m.Changes(self._version, [event]))
+
+    def set_state(self, machine: str, state: r.MachineState) -> None:
+        old = self.replica.machines[machine].record
+        self._put(r.machine_key(machine), msgspec.structs.replace(old, state=state))
+
+    def bind(self, machine: str, job: r.JobSpec) -> None:
+        self._put(r.job_key(job.id), r.JobRecord("open", 1, 0.0, job))
+        self._put(r.chunk_key(job.id, 0), [r.Task(machine, 1)])
+
+    def unbind(self, machine: str, job: str) -> None:
+        self._put(r.chunk_key(job, 0), [r.Task("", 1)])
+
+    def ask(self, job: r.JobSpec, zones: list[str] | None = None) -> None:
+        self._put(r.job_key(job.id), r.JobRecord("open", 1, 0.0, job))
+        ask = ask_for(job, 0, _Membership.epoch, False, zones or ZONES, [])
+        self._run(self._handle(ASK, pack_ask(ask)))
+
+    async def _handle(self, kind: int, payload: bytes) -> None:
+        self._siblings.handlers[kind]("winch-0", payload)
+
+    def round(self) -> None:
+        self._run(self._credits.work())
+
+    def _run(self, coro: Any) -> None:
+        async def run() -> None:
+            await coro
+            await asyncio.sleep(0)  # answers are sent by the loop's next turn
+
+        asyncio.run(run())
--- /dev/null
+++ b/tests/test_api.py
@@ -0,0 +1,153 @@
+"""What users are answered, over real HTTP messages, and the command line's exits."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from pulleydeal import constants as c
+from pulleydeal.cli import main
+from pulleydeal.clock import SystemClock
+from pulleydeal.http import Client, Request, Response, Server, answer
+from pulleydeal.settings import SettingsError, Team, load
+from pulleydeal.store import records as r
+from pulleydeal.submissions import messages as m
+from pulleydeal.submissions.service import refusal
+
+GOOD = {
+    "name_id": "j-000412",
+    "rig": "train",
+    "crew": "core",
+    "haul": "gang",
+    "urgency": "high",
+    "lifts": 2,
+    "vcpus": 8.0,
+    "accelerators": 1,
+    "ram_gb": 64.0,
+    "tackle": "img-07",
+    "pull_gb": 6.2,
+    "rig_models": None,
+    "same_place": True,
+    "spread": False,
+    "loaners": True,
+    "haul_s": 240.0,
+    "belay_s": 30.0,
+    "stow_s": 4.0,
+    "extra": {"ignored": True},
+}
+TYPES = {"g8": r.MachineType("g8", 16.0, 2.0, 128.0, 50.0, 1.0, 9.0, 3.0, 45.0, ["east"])}
+
+
+def parse(**changes: object) -> r.JobSpec:
+    body = {k: v for k, v in (GOOD | changes).items() if v != "missing"}
+    return m.SUBMISSION.decode(json.dumps(body).encode()).spec()
+
+
+def test_a_good_submission_is_understood() -> None:
+    spec = parse()
+    assert (spec.kind, spec.priority, spec.gpus, spec.zone) == ("gang", 2, 1.0, None)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"name_id": "job-1"},
+        {"name_id": 7},
+        {"lifts": 0},
+        {"lifts": 100_001},
+        {"lifts": 1.5},
+        {"vcpus": -1},
+        {"vcpus": "8"},
+        {"vcpus": 1e300},
+        {"haul": "cron"},
+        {"urgency": "urgent"},
+        {"spread": 1},
+        {"rig_models": "g8"},
+        {"yard": 3},
+        {"tackle": "missing"},
+        {"haul_s": "missing"},
+        {"due_s": -5},
+        {"crew": None},
+    ],
+)
+def test_a_malformed_submission_is_refused(changes: dict[str, object]) -> None:
+    with pytest.raises(ValueError):
+        parse(**changes)
+
+
+@pytest.mark.parametrize(
+    ("changes", "why"),
+    [
+        ({}, ""),
+        ({"crew": "nobody"}, "unknown team"),
+        ({"vcpus": 17}, "fits no"),
+        ({"rig_models": ["g9"]}, "fits no"),
+        ({"yard": "west"}, "fits no"),
+        ({"lifts": 5}, "limit"),
+        ({"lifts": 5, "haul": "batch"}, ""),
+        ({"accelerators": 2, "lifts": 3, "haul": "standing"}, "limit"),
+    ],
+)
+def test_what_can_never_run_is_refused(changes: dict[str, object], why: str) -> None:
+    found = refusal(parse(**changes), {"core": Team("core", gpus_max=4.0)}, TYPES, ["east"])
+    assert why in found and bool(found) == bool(why)
+
+
+async def exchange(raw: bytes, handler: object = None) -> bytes:
+    async def echo(request: Request) -> Response:
+        return answer(200, {"size": len(request.body)})
+
+    server = Server(handler or echo, 4)  # type: ignore[arg-type]
+    listening = await asyncio.start_server(server._connection, "127.0.0.1", 0)
+    port = listening.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(raw)
+    reply = await reader.read()
+    writer.close()
+    listening.close()
+    return reply
+
+
+def test_bodies_over_the_limit_and_broken_messages_are_answered_and_closed() -> None:
+    size = c.MAX_BODY_B + 1
+    head = f"POST /submissions HTTP/1.1\r\nHost: x\r\nContent-Length: {size}\r\n\r\n".encode()
+    assert asyncio.run(exchange(head + b"x" * size)).startswith(b"HTTP/1.1 413")
+    assert asyncio.run(exchange(b"NONSENSE\r\n\r\n")).startswith(b"HTTP/1.1 400")
+
+
+def test_a_handler_that_fails_is_answered_503_with_when_to_come_back() -> None:
+    async def fails(request: Request) -> Response:
+        raise RuntimeError("for a test")
+
+    raw = b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+    reply = asyncio.run(exchange(raw, fails))
+    assert reply.startswith(b"HTTP/1.1 503") and b"Retry-After: 1" in reply
+
+
+def test_a_kept_connection_serves_one_request_after_the_other() -> None:
+    async def run() -> list[int]:
+        async def seen(request: Request) -> Response:
+            return answer(200, {"path": request.path})
+
+        server = Server(seen, 4)
+        listening = await asyncio.start_server(server._connection, "127.0.0.1", 0)
+        port = listening.sockets[0].getsockname()[1]
+        client = Client(f"127.0.0.1:{port}", SystemClock())
+        found = [(await client.request("GET", f"/{i}"))[0] for i in range(3)]
+        client.close()
+        listening.close()
+        return found
+
+    assert asyncio.run(run()) == [200, 200, 200]
+
+
+def test_settings_errors_name_the_field(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text('{"node_name": "n", "zone": "z", "api_addr": "nowhere"}')
+    with pytest.raises(SettingsError, match="api_addr"):
+        load(path)
+    assert main(["--config", str(path)]) == 2
+    assert main(["check", "--config", str(tmp_path / "none.json")]) == 2
+    assert "none.json" in capsys.readouterr().err
+    assert main(["status", "j-1", "--node", "127.0.0.1:1"]) == 1
--- /dev/null
+++ b/tests/test_plan.py
@@ -0,0 +1,99 @@
+"""What is rented, kept and left, as plain functions."""
+
+from collections import Counter
+
+from pulleydeal.credits.queue import Room
+from pulleydeal.fleet import plan
+from pulleydeal.placement import rules
+from pulleydeal.settings import Objective, Team
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Job
+
+ZONES = ["east", "west"]
+TYPE = r.MachineType("t4", 8.0, 2.0, 64.0, 100.0, 0.5, 4.0, 1.0, 30.0, ZONES)
+
+
+def job(name: str, tasks: int = 1, **more: object) -> Job:
+    values: dict[str, object] = {
+        "id": name,
+        "klass": "c",
+        "team": "core",
+        "kind": "array",
+        "priority": 1,
+        "tasks": tasks,
+        "cpus": 1.0,
+        "gpus": 1.0,
+        "memory": 1.0,
+        "image": "img",
+        "image_gb": 1.0,
+    }
+    spec = r.JobSpec(**(values | more))  # type: ignore[arg-type]
+    return Job(name, 1, r.JobRecord("open", tasks, 0.0, spec))
+
+
+def demand(
+    *jobs: Job,
+    gpus_max: float = 0.0,
+    refused: set[plan.Kind] | None = None,
+    spaces: list[plan.Space] | None = None,
+) -> plan.Demand:
+    team = Team("core", gpus_max=gpus_max)
+    return plan.Demand(
+        list(jobs), spaces or [], {}, {}, {"t4": TYPE}, {"core": team}, ZONES, refused or set()
+    )
+
+
+def test_waiting_tasks_share_what_is_there_before_anything_is_rented() -> None:
+    there = plan.Space(("t4", "east", False), Room(8.0, 2.0, 64.0), "vm-1")
+    missing = plan.missing(demand(job("j-1", 3), spaces=[there]))
+    assert missing == Counter({("t4", "west", False): 1})
+
+
+def test_spot_where_the_job_allows_it_and_elsewhere_when_it_is_refused() -> None:
+    assert plan.missing(demand(job("j-1", spot=True))) == Counter({("t4", "east", True): 1})
+    refused = {("t4", "east", True), ("t4", "west", True)}
+    missing = plan.missing(demand(job("j-1", spot=True), refused=refused))
+    assert missing == Counter({("t4", "east", False): 1})
+    assert plan.missing(demand(job("j-1", zone="east"), refused={("t4", "east", False)})) == {}
+
+
+def test_a_team_at_its_limit_rents_nothing_more() -> None:
+    missing = plan.missing(demand(job("j-1", 10), gpus_max=4.0))
+    assert sum(missing.values()) == 2
+
+
+def test_spread_and_one_zone_are_planned_for() -> None:
+    missing = plan.missing(demand(job("j-1", 4, spread=True)))
+    assert missing == Counter({("t4", "east", False): 1, ("t4", "west", False): 1})
+    missing = plan.missing(demand(job("j-1", 4, one_zone=True, kind="gang")))
+    assert missing == Counter({("t4", "east", False): 2})
+
+
+def test_spare_room_follows_arrivals_for_aims_sooner_than_a_boot() -> None:
+    aims = [
+        Objective("wait", "web", 5.0),
+        Objective("wait", "slow", 99.0),
+        Objective("guarantee", "", 20.0),
+    ]
+    assert plan.prompt_classes(aims, 30.0) == ({"web"}, True)
+    recent = [(100.0 + 20 * i, job(f"j-{i}").spec) for i in range(6)]
+    specs = [(at, spec) for at, spec in recent if spec is not None]
+    assert [s.id for s in plan.spare(specs, 215.0, 30.0)] == ["j-4", "j-5"]
+    assert plan.spare([], 215.0, 30.0) == []
+
+
+def test_spread_counts_everything_not_proved_gone() -> None:
+    spec = job("j-1", 5, spread=True).spec
+    assert spec is not None
+    used = rules.zones_used(["a", "b", "c"], {"a": "east", "b": "east", "c": "east"})
+    assert rules.zones_allowed(spec, used, ZONES) == ["west"]
+    assert rules.spread_limit(5) == 3 and rules.spread_limit(1) == 1
+
+
+def test_a_guarantee_covers_the_earlier_jobs_first() -> None:
+    team = {"core": Team("core", gpus=4.0)}
+    first, second, third = job("j-1", 3), job("j-2", 2), job("j-3", 1)
+    for at, each in enumerate((first, second, third)):
+        assert each.record is not None
+        each.record.at = float(at)
+    assert rules.guaranteed_jobs([third, second, first], team) == {"j-1"}
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,54 @@
+"""Room made by stopping tasks goes to whom it was made for, image or not."""
+
+from pulleydeal import constants as c
+from pulleydeal.store import records as r
+from standins.owner import Owner, spec
+
+
+def test_made_room_is_taken_though_the_image_is_missing() -> None:
+    owner = Owner(machines={"vm-1": "east"}, gpus=1.0)
+    owner.bind("vm-1", spec("j-low", priority=0))
+    owner.ask(spec("j-prod", priority=3, image="other"))
+    owner.round()
+    owner.pass_time(c.PREEMPT_AFTER_S + 0.1)
+    owner.round()
+    assert owner.stopped == ["j-low/0"]
+    assert owner.held == {}
+    owner.unbind("vm-1", "j-low")
+    owner.round()
+    assert owner.held == {"j-prod/0": "vm-1"}
+
+
+def test_room_made_where_the_task_may_no_longer_run_is_given_up() -> None:
+    owner = Owner(machines={"vm-1": "east", "vm-2": "west"}, gpus=1.0)
+    owner.bind("vm-1", spec("j-low", priority=0))
+    owner.bind("vm-2", spec("j-high", priority=2))
+    owner.ask(spec("j-prod", priority=3), zones=["east"])
+    owner.pass_time(c.PREEMPT_AFTER_S + 0.1)
+    owner.round()
+    assert owner.stopped == ["j-low/0"]
+    owner.unbind("vm-2", "j-high")
+    owner.ask(spec("j-prod", priority=3), zones=["west"])
+    owner.round()
+    assert owner.held == {"j-prod/0": "vm-2"}
+
+
+def test_the_same_credit_is_spent_once() -> None:
+    owner = Owner(machines={"vm-1": "east"}, gpus=1.0)
+    owner.ask(spec("j-a"))
+    owner.ask(spec("j-b"))
+    owner.round()
+    assert owner.held == {"j-a/0": "vm-1"}
+    owner.pass_time(c.HOLD_S + 0.1)
+    owner.ask(spec("j-b"))
+    owner.round()
+    assert owner.held["j-b/0"] == "vm-1"  # the binding never came: the room is free again
+
+
+def test_a_machine_that_is_to_go_gives_no_credit() -> None:
+    owner = Owner(machines={"vm-1": "east"}, gpus=1.0)
+    owner.set_state("vm-1", "drain")
+    owner.ask(spec("j-a"))
+    owner.round()
+    assert owner.held == {}
+    assert isinstance(owner.replica.machines["vm-1"].record, r.MachineRecord)
