Lets silence prove nothing once a node was voted out; heals cuts only from both ends

A node cut off from all but its old view took the silence of machines, which others had long renewed, for the end of their leases; the change waited, and was written against the new view when it was back. Now such proof is looked at again against the view it is committed under, and holds only for an owner without a break; a skipped view ends every tenure. Ruled out: absence from reports and exits, which stay true whoever owns the machine.

--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -59,7 +59,8 @@
             catalog = r.Catalog(await self._cloud.catalog())
         except (CloudTrouble, NoCapacity) as error:
             log.info("no catalogue from the cloud: %s", error)
-            await asyncio.sleep(c.LOOP_PAUSE_S)
+            # With types known only prices are missing: leave the calls to rentals and returns.
+            await asyncio.sleep(c.CATALOG_RETRY_S if self._replica.types else c.LOOP_PAUSE_S)
             return
         if catalog != self._replica.catalog:
             await self._store.commit({r.VIEW: self._replica.view_version}, {r.CATALOG: catalog})
--- a/pulleydeal/membership/messages.py
+++ b/pulleydeal/membership/messages.py
@@ -27,6 +27,7 @@
     epoch: int
     totals: list[Total] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)  # over, with tasks not proved gone
+    hears: list[str] = field(default_factory=list)  # siblings that the sender hears now
 
 
 def pack_beat(beat: Beat) -> bytes:
@@ -35,7 +36,7 @@
         packer.text(t.type).text(t.zone).u8(t.spot)
         packer.f64(t.cpus).f64(t.gpus).f64(t.memory).f64(t.largest_cpus).f64(t.largest_gpus)
         packer.texts(t.images)
-    return packer.texts(beat.cancelled).bytes()
+    return packer.texts(beat.cancelled).texts(beat.hears).bytes()
 
 
 def unpack_beat(data: bytes) -> Beat:
@@ -46,4 +47,4 @@
         kind = (u.text(), u.text(), bool(u.u8()))
         amounts = (u.f64(), u.f64(), u.f64(), u.f64(), u.f64())
         totals.append(Total(*kind, *amounts, u.texts()))
-    return Beat(epoch, totals, u.texts())
+    return Beat(epoch, totals, u.texts(), u.texts())
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -154,7 +154,12 @@
             return
         zones = {m: self._settings.zone_of(m) for m in self.view.members}
         changed = decide.with_cuts(
-            self.view, self.me, zones, self._siblings.heard_s(), self._siblings.steady_s()
+            self.view,
+            self.me,
+            zones,
+            self._siblings.heard_s(),
+            self._siblings.steady_s(),
+            {name for name, (_, beat) in self._beats.items() if self.me in beat.hears},
         )
         if changed is not None and await self._store.commit(conditions, {r.VIEW: changed}):
             log.info("epoch %d: cut pairs now %s", self.epoch, self.view.cut)
@@ -170,7 +175,10 @@
             if job.record is not None and job.record.status == "cancelled"
         ]
         totals = self.totals() if self.is_member else []
-        self._siblings.broadcast(BEAT, pack_beat(Beat(self.epoch, totals, cancelled[:500])))
+        hears = [name for name, s in self._siblings.heard_s().items() if s < c.HEARD_NOW_S]
+        self._siblings.broadcast(
+            BEAT, pack_beat(Beat(self.epoch, totals, cancelled[: c.RELAYED_CANCELS], hears))
+        )
 
     def _on_beat(self, sender: str, payload: bytes) -> None:
         self._beats[sender] = (self._clock.now(), unpack_beat(payload))
--- a/pulleydeal/membership/view.py
+++ b/pulleydeal/membership/view.py
@@ -49,11 +49,13 @@
     zones: dict[str, str],
     heard_s: dict[str, float],
     steady_s: dict[str, float],
+    hears_me: set[str],
 ) -> View | None:
     """The view with the cuts that `me` sees, or None when nothing changes.
 
     `heard_s`: seconds since each sibling was heard; `steady_s`: for how long it has now been
-    heard without a break. A single lost beat changes nothing, and a flapping link stays cut.
+    heard without a break; `hears_me`: siblings that say they hear us. A single lost beat changes
+    nothing, and a link that flaps or works one way only stays cut.
     """
     cut = set(view.cut)
     for sibling in view.members:
@@ -62,7 +64,12 @@
         pairs = {(me, zones[sibling]), (sibling, zones[me])}
         if heard_s.get(sibling, 0.0) > c.CUT_AFTER_S:
             cut |= pairs
-        elif steady_s.get(sibling, 0.0) > c.HEAL_AFTER_S:
+        elif (
+            # Both ends must hear, and now: else one end undoes what the other just recorded.
+            sibling in hears_me
+            and heard_s.get(sibling, 0.0) < c.HEARD_NOW_S
+            and steady_s.get(sibling, 0.0) > c.HEAL_AFTER_S
+        ):
             cut -= pairs
     if cut == set(view.cut):
         return None
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -101,6 +101,8 @@
         mine = [j for j in jobs if j.spec is not None and self._membership.leads_job(j.spec)]
         for job in mine:
             self._release_gone(job)
+            if not job.is_open and not job.bound:
+                self._sweep(job)
         self._forget(now)
         self._reasons = {}
         inside = rules.guaranteed_jobs([j for j in jobs if j.is_open], self._teams)
@@ -166,6 +168,13 @@
                 )
                 future.add_done_callback(partial(self._cleared, key))
 
+    def _sweep(self, job: Job) -> None:
+        """What a large job left behind is removed bit by bit, until one slim record stays."""
+        if job.id not in self._clearing:
+            self._clearing.add(job.id)
+            future = self._store.change_job(job.id, lambda draft: None, urgent=False)
+            future.add_done_callback(partial(self._cleared, job.id))
+
     def _cleared(self, key: str, _: "asyncio.Future[bool]") -> None:
         self._clearing.discard(key)
 
@@ -212,7 +221,7 @@
             self._reasons[job.id] = "the last attempt's tasks are still leaving"
             return
         open_asks = sum(1 for key in self._pending if key[0] == job.id)
-        for index in self._unbound(job):
+        for index in job.waiting(c.MAX_ASKS_PER_JOB):
             key = (job.id, index)
             pending = self._pending.get(key)
             if pending is None:
@@ -232,17 +241,6 @@
         if spec.kind == "gang":
             self._try_gang(job, now)
 
-    def _unbound(self, job: Job) -> list[int]:
-        assert job.spec is not None
-        found: list[int] = []
-        for index in range(job.spec.tasks):
-            task = job.task(index)
-            if not task.machine and not task.done:
-                found.append(index)
-                if len(found) >= c.MAX_ASKS_PER_JOB:
-                    break
-        return found
-
     def _may_try(self, job: Job, key: TaskId, now: float) -> bool:
         task = job.task(key[1])
         if not task.fails:
@@ -405,7 +403,7 @@
     def _try_gang(self, job: Job, now: float) -> None:
         """No member starts before there is room for all."""
         assert job.spec is not None
-        keys = [(job.id, index) for index in self._unbound(job)]
+        keys = [(job.id, index) for index in job.waiting(job.spec.tasks)]
         held = [self._pending.get(key) for key in keys]
         if len(keys) == job.spec.tasks and all(
             p is not None and p.machine and not p.writing and now < p.until for p in held
--- a/pulleydeal/store/draft.py
+++ b/pulleydeal/store/draft.py
@@ -83,6 +83,11 @@
             self.deletes = [r.chunk_key(self.job.id, k) for k in self.job.chunks]
             slim = r.JobRecord(self.status, record.tasks, record.at)
             self.puts[r.job_key(self.job.id)] = slim
+        elif over and record.status != "open":
+            # Too many chunks for one transaction; the end is durable, so they may go one by one.
+            first = sorted(self.job.chunks)[: self._most_chunks]
+            self.puts = {}
+            self.deletes = [r.chunk_key(self.job.id, k) for k in first]
         elif self.status != record.status:
             self.puts[r.job_key(self.job.id)] = r.JobRecord(
                 self.status, record.tasks, record.at, self.spec
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -18,6 +18,7 @@
 class Chunk:
     version: int
     tasks: list[r.Task]
+    waiting: int = 0  # tasks neither bound nor done
 
 
 @dataclass(slots=True)
@@ -27,12 +28,17 @@
     record: r.JobRecord | None = None
     chunks: dict[int, Chunk] = field(default_factory=dict)
     done: int = 0  # tasks done
-    bound: int = 0  # tasks on a machine, or not proved gone from it
+    on_machines: dict[int, r.Task] = field(default_factory=dict)  # not proved gone
+    last_stop: str = ""  # why one of its tasks was last stopped
 
     @property
     def spec(self) -> r.JobSpec | None:
         return self.record.spec if self.record else None
 
+    @property
+    def bound(self) -> int:
+        return len(self.on_machines)
+
     @property
     def is_open(self) -> bool:
         return self.record is not None and self.record.status == "open"
@@ -44,12 +50,25 @@
         return chunk.tasks[index % c.CHUNK_TASKS]
 
     def bindings(self) -> list[tuple[int, r.Task]]:
-        return [
-            (k * c.CHUNK_TASKS + i, task)
-            for k, chunk in self.chunks.items()
-            for i, task in enumerate(chunk.tasks)
-            if task.machine
-        ]
+        return list(self.on_machines.items())
+
+    def waiting(self, most: int) -> list[int]:
+        """The first tasks that are neither bound nor done; chunks without any are skipped."""
+        if self.spec is None:
+            return []
+        found: list[int] = []
+        for k in range(-(-self.spec.tasks // c.CHUNK_TASKS)):
+            chunk = self.chunks.get(k)
+            if chunk is not None and not chunk.waiting:
+                continue
+            last = min((k + 1) * c.CHUNK_TASKS, self.spec.tasks)
+            for index in range(k * c.CHUNK_TASKS, last):
+                task = self.task(index)
+                if not task.machine and not task.done:
+                    found.append(index)
+                    if len(found) >= most:
+                        return found
+        return found
 
 
 @dataclass(slots=True)
@@ -208,13 +227,16 @@
     def _set_chunk(self, job_id: str, index: int, tasks: list[r.Task], version: int) -> None:
         job = self.jobs.setdefault(job_id, Job(job_id))
         self._unindex(job, index)
-        job.chunks[index] = Chunk(version, tasks)
+        waiting = sum(not task.machine and not task.done for task in tasks)
+        job.chunks[index] = Chunk(version, tasks, waiting)
         for offset, task in enumerate(tasks):
             job.done += task.done
+            if not task.done:
+                job.last_stop = task.stop or task.why or job.last_stop
             if task.machine:
-                job.bound += 1
-                place = (job_id, index * c.CHUNK_TASKS + offset)
-                self.bound.setdefault(task.machine, {})[place] = task
+                place = index * c.CHUNK_TASKS + offset
+                job.on_machines[place] = task
+                self.bound.setdefault(task.machine, {})[(job_id, place)] = task
 
     def _drop_chunk(self, job_id: str, index: int) -> None:
         job = self.jobs.get(job_id)
@@ -229,9 +251,10 @@
         for offset, task in enumerate(old.tasks):
             job.done -= task.done
             if task.machine:
-                job.bound -= 1
+                place = index * c.CHUNK_TASKS + offset
+                del job.on_machines[place]
                 on_machine = self.bound[task.machine]
-                del on_machine[(job.id, index * c.CHUNK_TASKS + offset)]
+                del on_machine[(job.id, place)]
                 if not on_machine:
                     del self.bound[task.machine]
 
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -176,7 +176,7 @@
                     # An unanswered transaction may still be applied. Quota and zones are
                     # counted without it, so the job's mark must move for it to fail.
                     draft.touch()
-                if not draft.puts:
+                if not draft.puts and not draft.deletes:
                     return True
                 try:
                     ok = await self.commit(
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -177,16 +177,11 @@
 
     def _note(self, job: Job) -> str:
         assert job.record is not None
-        stopped = ""
-        for chunk in job.chunks.values():
-            for task in chunk.tasks:
-                if task.stop or (task.why and not task.done):
-                    stopped = task.stop or task.why
         waiting = ""
         if job.done + job.bound < job.record.tasks:
             waiting = f"waits for {self._reason(job.id) or 'credit'}"
         return "; ".join(
-            part for part in (waiting, f"last stop: {stopped}" if stopped else "") if part
+            part for part in (waiting, job.last_stop and f"last stop: {job.last_stop}") if part
         )
 
     # --- cancel -----------------------------------------------------------------------------
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -58,6 +58,7 @@
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
+        self._epoch = 0  # the last view by which machines were taken and given up
         self.stations: dict[str, Station] = {}
         self._clients: dict[str, Client] = {}
         self._exits: set[Start] = set()
@@ -92,7 +93,12 @@
         """Takes and gives up machines as the view says."""
         token = views.token(self._membership.epoch, 0)
         now = self._clock.now()
+        skipped = self._membership.epoch > self._epoch + 1
+        self._epoch = self._membership.epoch
         with self._lock:
+            if skipped:
+                # Machines may have been another's in a view that was never looked at here.
+                self.stations.clear()
             for machine, station in list(self.stations.items()):
                 if not self._membership.owns(machine, station.zone):
                     del self.stations[machine]
@@ -273,9 +279,20 @@
             gone.detail,
         )
         self._metrics.stops.labels(gone.outcome).inc()
-        future = self._store.change_job(gone.job, partial(apply_exit, gone=gone), urgent=True)
+        future = self._store.change_job(gone.job, partial(self._prove, station, gone), urgent=True)
         future.add_done_callback(lambda _: self._exits.discard(start))
 
+    def _prove(self, station: Station, gone: Exit, draft: Draft) -> None:
+        """Runs against the newest record and view, on which the commit is conditional.
+
+        Silence proves nothing once somebody else may have renewed the lease: a node that was
+        cut off and voted out concluded from it all the same, wrote it when it was back, and
+        tasks ran twice.
+        """
+        still_owner = self._membership.is_member and self.stations.get(station.id) is station
+        if still_owner or not gone.by_lease:
+            apply_exit(draft, gone)
+
     def _log_run(self, station: Station, start: Start, how: str) -> None:
         self._metrics.starts.inc()
         log.info(
@@ -396,6 +413,8 @@
         suspect = len(silent) > max(c.SILENT_FEW, len(self.stations) * c.SILENT_SHARE)
         limit = self._times.lease_s if suspect else c.SILENT_RETURN_REPORTS * report_s
         for station in list(self.stations.values()):
+            if self.stations.get(station.id) is not station:
+                continue  # given up while an earlier one was being written
             if silent_s(station, now) > c.PROBE_REPORTS * report_s:
                 self._probe(station)
             record = self._replica.machines.get(station.id)
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -41,6 +41,7 @@
     machine: str
     outcome: str  # done, error, saved, stopped, lost, refused, ...
     detail: str
+    by_lease: bool = False  # concluded from silence: holds only for an unbroken owner
 
 
 @dataclass(slots=True)
@@ -145,7 +146,7 @@
     if lease_over(s, now, lease_s):
         for (job, index), want in wanted.items():
             why = "machine lost: its lease ran out"
-            plan.exits.append(Exit(job, index, want.task.attempt, s.id, "lost", why))
+            plan.exits.append(Exit(job, index, want.task.attempt, s.id, "lost", why, True))
         return plan
     if not s.trusted:
         return plan
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,142 @@
+"""The replica's bookkeeping, and jobs of every size from first binding to one slim record."""
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+from pulleydeal.store.draft import Draft
+from pulleydeal.store.replica import Job, Replica
+from pulleydeal.workers.service import apply_exit, apply_stop
+from pulleydeal.workers.station import Exit
+
+TXN_OPS = 24
+
+
+class Store:
+    """Applies drafts to a replica as the state service would."""
+
+    def __init__(self, tasks: int, kind: str = "array") -> None:
+        self.replica = Replica()
+        self.replica.loaded = True
+        self.version = 0
+        spec = r.JobSpec("j-1", "c", "core", kind, 1, tasks, 1.0, 1.0, 1.0, "img", 1.0)  # type: ignore[arg-type]
+        self.write({r.job_key("j-1"): r.JobRecord("open", tasks, 0.0, spec)}, [])
+
+    @property
+    def job(self) -> Job:
+        return self.replica.jobs["j-1"]
+
+    def write(self, puts: dict[str, object], deletes: list[str]) -> None:
+        self.version += 1
+        raw = {key: msgspec.json.encode(value) for key, value in puts.items()}
+        assert len(puts) + len(deletes) <= TXN_OPS
+        assert all(len(value) <= 8192 for value in raw.values())
+        events = [m.Event(self.version, k, None, msgspec.Raw(v)) for k, v in raw.items()]
+        events += [m.Event(self.version, None, k) for k in deletes]
+        self.replica.apply(m.Changes(self.version, events))
+
+    def change(self, *mutators: object) -> Draft:
+        draft = Draft(self.job, self.replica, TXN_OPS)
+        for mutate in mutators:
+            mutate(draft)  # type: ignore[operator]
+        draft.finish()
+        if draft.puts or draft.deletes:
+            self.write(draft.puts, draft.deletes)
+        return draft
+
+
+def bind(index: int, machine: str = "vm-000001") -> object:
+    def mutate(draft: Draft) -> None:
+        task = draft.edit(index)
+        if task is not None:
+            task.machine, task.attempt = machine, task.attempt + 1
+
+    return mutate
+
+
+def ended(index: int, outcome: str, attempt: int = 1) -> object:
+    proof = Exit("j-1", index, attempt, "vm-000001", outcome, "for a test")
+    return lambda draft: apply_exit(draft, proof)
+
+
+def test_changes_of_one_moment_are_one_write_and_the_last_end_makes_the_job_done() -> None:
+    store = Store(3)
+    draft = store.change(bind(0), bind(1), bind(2))
+    assert list(draft.puts) == ["p/c/j-1/0000"] and store.job.bound == 3
+    store.change(ended(0, "done"), ended(1, "done"))
+    assert store.job.is_open
+    draft = store.change(ended(2, "done"))
+    assert draft.deletes == ["p/c/j-1/0000"]
+    assert store.job.record == r.JobRecord("done", 3) and store.replica.bound == {}
+
+
+def test_proof_of_an_earlier_attempt_changes_nothing() -> None:
+    store = Store(1)
+    store.change(bind(0))
+    store.change(ended(0, "lost"))
+    store.change(bind(0))
+    assert store.change(ended(0, "lost", attempt=1)).puts == {}
+    assert store.job.bound == 1
+
+
+def test_a_gang_is_done_when_one_is_and_stopped_as_a_whole() -> None:
+    store = Store(3, "gang")
+    store.change(bind(0), bind(1), bind(2))
+    store.change(lambda draft: apply_stop(draft, 1, 1, "a drain"))
+    assert [task.stop for _, task in store.job.bindings()] == ["a drain"] * 3
+    store.change(ended(1, "done"))
+    assert store.job.record is not None and store.job.record.status == "done"
+    assert store.job.bound == 2  # their machines are not proved free yet
+    store.change(ended(0, "done"), ended(2, "done"))
+    assert store.job.spec is None
+
+
+def test_a_cancelled_job_stays_until_all_its_tasks_are_gone() -> None:
+    def cancel(draft: Draft) -> None:
+        draft.status = "cancelled"
+
+    store = Store(2)
+    store.change(bind(0))
+    store.change(cancel)
+    assert not store.job.is_open and store.job.spec is not None
+    store.change(ended(0, "stopped"))
+    assert store.job.record == r.JobRecord("cancelled", 2)
+
+
+def test_a_job_of_100_000_tasks_stays_within_every_limit() -> None:
+    store = Store(100_000)
+    steps = 0
+    while store.job.is_open:
+        batch = store.job.waiting(c.CHUNK_TASKS * (TXN_OPS - 1))
+        steps += 1
+        store.change(*(bind(index) for index in batch))
+        assert store.job.bound == len(batch)
+        store.change(*(ended(index, "done") for index in batch))
+    assert store.job.done == 100_000 and steps == -(-1563 // (TXN_OPS - 1))
+    while store.job.spec is not None:
+        store.change()
+    assert store.job.record == r.JobRecord("done", 100_000)
+    assert store.job.chunks == {} and store.replica.bound == {}
+
+
+def test_an_own_delete_is_not_undone_by_the_watch_catching_up() -> None:
+    replica = Replica()
+    replica.loaded = True
+    record = msgspec.json.encode(r.MachineRecord("up", "t4", "east", False))
+    replica.committed({}, ["p/m/vm-1"], 7)
+    late = m.Event(5, "p/m/vm-1", None, msgspec.Raw(record))
+    replica.apply(m.Changes(5, [late]))
+    assert replica.machines == {}
+    newer = m.Event(8, "p/m/vm-1", None, msgspec.Raw(record))
+    replica.apply(m.Changes(8, [newer]))
+    assert list(replica.machines) == ["vm-1"]
+
+
+def test_an_older_value_never_replaces_a_newer_one() -> None:
+    replica = Replica()
+    replica.loaded = True
+    for version, state in ((4, "drain"), (3, "up")):
+        value = r.MachineRecord(state, "t4", "east", False)  # type: ignore[arg-type]
+        replica.committed({"p/m/vm-1": msgspec.json.encode(value)}, [], version)
+    assert replica.machines["vm-1"].record.state == "drain"
