--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -58,7 +58,8 @@
     zone: str
     spot: bool
     room: Room
-    images: frozenset[str] = frozenset()
+    images: frozenset[str] = frozenset()  # there already
+    fetching: frozenset[str] = frozenset()  # on their way; they share the machine's rate
     reserved: TaskId | None = None  # emptied for this task; nobody else may take it
     victims: list[Victim] = field(default_factory=list)
 
@@ -81,6 +82,13 @@
     )
 
 
+def fetch_rank(credit: Credit, ask: Ask) -> int:
+    """How long the image will take, roughly: there, on its way, or behind so many others."""
+    if ask.image in credit.images:
+        return 0
+    return 0 if ask.image in credit.fetching else 1 + len(credit.fetching)
+
+
 def order(waiting: Waiting) -> tuple[int, int, float]:
     """Owed work first within its priority, then whoever waits longest."""
     return (-waiting.ask.priority, -int(waiting.ask.guaranteed), waiting.since)
@@ -108,13 +116,15 @@
         Two exceptions to the design, as our credits are unequal and the talk's are not. When
         none of the first few fits, the next few are looked at, or a fitting credit further
         back would never be found. And credits whose machines have the image (`ready`) are
-        looked at before all others: a fetch takes longer than most starts may.
+        looked at before all others, and machines busy fetching last: a fetch takes longer
+        than most starts may.
         """
         credits = [
             credit
             for credit in self
             if allowed(credit, ask) and (not ready or ask.image in credit.images)
         ]
+        credits.sort(key=lambda credit: fetch_rank(credit, ask))
         for start in range(0, len(credits), c.PROBES):
             found = _first(credits[start : start + c.PROBES], ask)
             if found is not None:
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -163,17 +163,28 @@
             if held.machine == station.id and task_id not in bound:
                 room.take(held.need)
         reserved = self._reserved.get(station.id)
+        fetching = self._fetching(station)
         return Credit(
             station.id,
             station.type,
             station.zone,
             station.spot,
             room,
-            frozenset(self._images.get(station.id, ())),
+            frozenset(self._images.get(station.id, ())) - fetching,
+            fetching,
             reserved[0] if reserved else None,
             victims,
         )
 
+    def _fetching(self, station: Station) -> frozenset[str]:
+        """A binding names its image at once, but the image may be most of a minute away."""
+        found = set()
+        for (job_id, _), entry in station.entries.items():
+            job = self._replica.jobs.get(job_id)
+            if entry.state == "fetching" and job is not None and job.spec is not None:
+                found.add(job.spec.image)
+        return frozenset(found)
+
     def _victim(
         self,
         job_id: str,
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -80,6 +80,17 @@
     assert queue(credit("a", 1.0)).probe(ask(), ready=True) is None
 
 
+def test_an_image_on_its_way_is_not_there_and_busy_machines_come_last() -> None:
+    busy = credit("busy", 1.0, fetching=frozenset({"a", "b"}))
+    idle = credit("idle", 1.0)
+    coming = credit("coming", 1.0, fetching=frozenset({"img"}))
+    found = queue(busy, idle).probe(ask(), ready=False)
+    assert found is not None and found.machine == "idle"
+    found = queue(busy, idle, coming).probe(ask(), ready=False)
+    assert found is not None and found.machine == "coming"
+    assert queue(coming).probe(ask(), ready=True) is None
+
+
 def test_what_a_job_may_not_use_is_no_credit_for_it() -> None:
     spot = credit("s", 4.0)
     spot.spot = True
