Bounds chunks, reasons and transactions by bytes; removes repeated and dead code

A full transaction of 64-task chunks with both reasons could pass 64 KiB and would then be refused for ever.

--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -51,12 +51,9 @@
     def __init__(
         self, address: str, clock: Clock, rps: float, write_rps: float, nodes: int
     ) -> None:
-        self._clock = clock
         self._http = Client(address, clock)
         self._requests = Rate(rps / nodes, clock)
         self._writes = Rate(write_rps * c.WRITE_SHARE / nodes, clock)
-        self.fresh_at = -1e9  # when the last answered request was sent
-        self.failing_since: float | None = None
         self.requests = 0
         self.refusals = 0
 
@@ -70,28 +67,18 @@
     ) -> tuple[int, bytes]:
         while (pause := self._requests.take(1, urgent)) > 0:
             await asyncio.sleep(pause)
-        sent_at = self._clock.now()
         self.requests += 1
         try:
             status, reply = await self._http.request(method, path, body, timeout)
         except NoAnswer as error:
-            self._failed()
             if error.sent:
                 raise Unknown(str(error)) from error
             raise Unavailable(str(error)) from error
         if status in (429, 503) or status >= 500:
-            if status != 429:
-                self._failed()
             self.refusals += 1
             raise Unavailable(f"{method} {path}: {status}")
-        self.fresh_at = max(self.fresh_at, sent_at)
-        self.failing_since = None
         return status, reply
 
-    def _failed(self) -> None:
-        if self.failing_since is None:
-            self.failing_since = self._clock.now()
-
     async def revision(self) -> int:
         _, reply = await self._call("GET", f"/store/{NOTHING}")
         return m.REVISION.decode(reply).revision
--- a/pulleydeal/store/draft.py
+++ b/pulleydeal/store/draft.py
@@ -21,8 +21,9 @@
         self.puts: dict[str, object] = {}
         self.deletes: list[str] = []
         self._chunks: dict[int, list[r.Task]] = {}
-        # Room is kept for the job's own record and for its chunks' removal at the end.
-        self._most_chunks = txn_ops - 1
+        self._most_conditions = txn_ops * c.CONDITIONS_PER_OP
+        self._most_deletes = txn_ops - 1  # and the job's own record
+        self._most_chunks = min(self._most_deletes, c.COMMIT_B // c.CHUNK_B)
 
     def task(self, index: int) -> r.Task:
         """The task as it stands in this draft, read only."""
@@ -52,7 +53,7 @@
         if record is None or record.record.state != "up":
             return False
         key = r.machine_key(machine)
-        if key not in self.conditions and len(self.conditions) >= c.CONDITIONS_PER_OP * 4:
+        if key not in self.conditions and len(self.conditions) >= self._most_conditions:
             return False
         self.conditions[key] = record.version
         return True
@@ -77,7 +78,7 @@
         if self.status == "open" and done == self.spec.tasks:
             self.status = "done"
         over = self.status != "open" and bound == 0
-        if over and len(self.job.chunks) < self._most_chunks:
+        if over and len(self.job.chunks) <= self._most_deletes:
             # Over and all gone: one slim record stays, so that its end is never forgotten.
             self.puts = {}
             self.deletes = [r.chunk_key(self.job.id, k) for k in self.job.chunks]
@@ -85,7 +86,7 @@
             self.puts[r.job_key(self.job.id)] = slim
         elif over and record.status != "open":
             # Too many chunks for one transaction; the end is durable, so they may go one by one.
-            first = sorted(self.job.chunks)[: self._most_chunks]
+            first = sorted(self.job.chunks)[: self._most_deletes]
             self.puts = {}
             self.deletes = [r.chunk_key(self.job.id, k) for k in first]
         elif self.status != record.status:
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -154,14 +154,17 @@
             return await self._refused(job, 400, why)
         return answer(400, {"error": why})
 
-    # --- show -------------------------------------------------------------------------------
-    async def show(self, job_id: str) -> Response:
+    async def _find(self, job_id: str) -> Job | None:
+        """The job as it stands: a final state is never old, any other must be proved fresh."""
         if not JOB_ID.match(job_id):
-            return answer(404, {"error": "no such job"})
-        job = self._replica.jobs.get(job_id)
-        if not _is_final(job):
+            return None
+        if not _is_final(self._replica.jobs.get(job_id)):
             await self._store.fresh()
-            job = self._replica.jobs.get(job_id)
+        return self._replica.jobs.get(job_id)
+
+    # --- show -------------------------------------------------------------------------------
+    async def show(self, job_id: str) -> Response:
+        job = await self._find(job_id)
         if job is None or job.record is None:
             return answer(404, {"error": "no such job"})
         return answer(200, self._state(job))
@@ -186,12 +189,7 @@
 
     # --- cancel -----------------------------------------------------------------------------
     async def cancel(self, job_id: str) -> Response:
-        if not JOB_ID.match(job_id):
-            return answer(404, {"error": "no such job"})
-        job = self._replica.jobs.get(job_id)
-        if not _is_final(job):
-            await self._store.fresh()
-            job = self._replica.jobs.get(job_id)
+        job = await self._find(job_id)
         if job is None or job.record is None:
             return answer(404, {"error": "no such job"})
         if job.is_open:
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -475,7 +475,7 @@
         return
     task.machine = ""
     task.stop = ""
-    task.why = gone.detail
+    task.why = gone.detail[: c.REASON_CHARS]
     if gone.outcome == "done":
         task.why = ""
         if draft.spec.kind != "service":
@@ -497,4 +497,4 @@
         if old.machine and old.attempt == attempt and not old.stop and not old.done:
             task = draft.edit(i)
             if task is not None:
-                task.stop = why
+                task.stop = why[: c.REASON_CHARS]
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -16,23 +16,13 @@
 from pulleydeal.clock import SystemClock
 from standins.cloud import CloudService
 from standins.rules import Rules
+from standins.scenario import TYPE as DEMO_TYPE
+from standins.scenario import ZONES
 from standins.state import StateService
 from standins.worker import Times, Worker, World
 
 STATE, CLOUD = "127.0.0.1:7001", "127.0.0.1:7002"
-ZONES = ["east", "west", "north"]
-TYPE = {
-    "name": "t4",
-    "vcpus": 16.0,
-    "accelerators": 4.0,
-    "ram_gb": 64.0,
-    "cache_gb": 100.0,
-    "fetch_gb_per_s": 0.5,
-    "hourly": 4.0,
-    "market_price": 1.0,
-    "ready_s": 3.0,
-    "yards": ZONES,
-}
+TYPE = DEMO_TYPE | {"ready_s": 3.0}
 NODES = {f"node-{i}": f"127.0.0.1:{8080 + i}" for i in range(3)}
 CAPACITY = 4  # machines per zone and kind
 FIRST_WORKER_PORT = 9000
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -31,7 +31,8 @@
         self.version += 1
         raw = {key: msgspec.json.encode(value) for key, value in puts.items()}
         assert len(puts) + len(deletes) <= TXN_OPS
-        assert all(len(value) <= 8192 for value in raw.values())
+        assert all(len(value) <= c.CHUNK_B for value in raw.values())
+        assert sum(map(len, raw.values())) <= c.COMMIT_B
         events = [m.Event(self.version, k, None, msgspec.Raw(v)) for k, v in raw.items()]
         events += [m.Event(self.version, None, k) for k in deletes]
         self.replica.apply(m.Changes(self.version, events))
@@ -60,6 +61,18 @@
     return lambda draft: apply_exit(draft, proof)
 
 
+def stopped(index: int) -> object:
+    """Makes the record as long as it can get: both reasons in full."""
+
+    def mutate(draft: Draft) -> None:
+        apply_stop(draft, index, 1, "x" * 200)
+        task = draft.edit(index)
+        assert task is not None
+        task.why = "y" * c.REASON_CHARS
+
+    return mutate
+
+
 def test_changes_of_one_moment_are_one_write_and_the_last_end_makes_the_job_done() -> None:
     store = Store(3)
     draft = store.change(bind(0), bind(1), bind(2))
@@ -107,13 +120,16 @@
 def test_a_job_of_100_000_tasks_stays_within_every_limit() -> None:
     store = Store(100_000)
     steps = 0
+    most_chunks = c.COMMIT_B // c.CHUNK_B
     while store.job.is_open:
-        batch = store.job.waiting(c.CHUNK_TASKS * (TXN_OPS - 1))
+        batch = store.job.waiting(c.CHUNK_TASKS * most_chunks)
         steps += 1
         store.change(*(bind(index) for index in batch))
         assert store.job.bound == len(batch)
+        if steps == 1:
+            store.change(*(stopped(index) for index in batch))
         store.change(*(ended(index, "done") for index in batch))
-    assert store.job.done == 100_000 and steps == -(-1563 // (TXN_OPS - 1))
+    assert store.job.done == 100_000 and steps == -(-100_000 // c.CHUNK_TASKS // most_chunks)
     while store.job.spec is not None:
         store.change()
     assert store.job.record == r.JobRecord("done", 100_000)
