--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -79,10 +79,16 @@
     world = World(rules, rules.uploads)
     workers: dict[str, tuple[Worker, asyncio.Task[None]]] = {}
 
+    def ended(task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and task.exception() is not None:
+            print(f"a worker failed: {task.exception()!r}", file=sys.stderr, flush=True)
+
     def boot(block: str, kind: dict[str, Any], yard: str, loaners: bool) -> str:
         address = f"127.0.0.1:{FIRST_WORKER_PORT + int(block.rpartition('-')[2])}"
         worker = Worker(block, address, kind, yard, loaners, NODES, world, Times(), clock, block)
-        workers[block] = (worker, asyncio.ensure_future(worker.run()))
+        task = asyncio.ensure_future(worker.run())
+        task.add_done_callback(ended)
+        workers[block] = (worker, task)
         return address
 
     def stop(block: str) -> None:
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -34,8 +34,8 @@
         ]
         if (
             (loaners and not job["loaners"])
-            or job["yard"] not in (None, yard)
-            or (job["rig_models"] is not None and type_ not in job["rig_models"])
+            or job.get("yard") not in (None, yard)
+            or (job.get("rig_models") is not None and type_ not in job["rig_models"])
         ):
             self._break("wrong_place", f"{lift} on {block} in {yard}")
         if job["same_place"] and any(place != yard for place in others):
