--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -54,7 +54,14 @@
         )
         cloud = Cloud(settings.endpoints.cloud, clock, deployment.cloud.rps)
         self.fleet = Fleet(
-            self.membership, self.store, cloud, teams, zones, deployment.objectives, clock
+            self.membership,
+            self.store,
+            cloud,
+            teams,
+            zones,
+            deployment.objectives,
+            clock,
+            limits.txn_ops,
         )
         self.submissions = Submissions(
             self.membership,
--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -1,8 +1,8 @@
 """The credit queue of one part, and the choices made from it: plain functions over state."""
 
-from collections import deque
-from collections.abc import Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from pulleydeal import constants as c
 from pulleydeal.credits.messages import Ask, Need
@@ -45,7 +45,6 @@
     need: Need
     priority: int
     loss: float  # rough work lost when it is stopped; smaller goes first
-    over: bool  # its team runs beyond its guarantee
     team: str
 
 
@@ -70,6 +69,7 @@
     leader: str
     since: float
     until: float
+    look_at: float  # when all credits are looked at again, not only those that changed
 
 
 def allowed(credit: Credit, ask: Ask) -> bool:
@@ -94,71 +94,90 @@
     return (-waiting.ask.priority, -int(waiting.ask.guaranteed), waiting.since)
 
 
+def shape(ask: Ask) -> tuple[object, ...]:
+    """Asks of one shape fail alike: what no credit suits one, none suits the next."""
+    return (
+        (ask.need.cpus, ask.need.gpus, ask.need.memory),
+        (ask.priority, ask.guaranteed, ask.spot, ask.team, ask.image),
+        (tuple(ask.types), tuple(ask.zones), tuple(ask.avoid)),
+    )
+
+
 class CreditQueue:
-    """Machines in the order in which they signalled room; a shrunk credit keeps its place."""
+    """Machines in the order in which they signalled room; a changed credit keeps its place."""
 
     def __init__(self) -> None:
-        self._order: deque[str] = deque()
         self.credits: dict[str, Credit] = {}
 
-    def refresh(self, credits: dict[str, Credit]) -> None:
-        self.credits = credits
-        kept = [machine for machine in self._order if machine in credits]
-        known = set(kept)
-        self._order = deque(kept + [machine for machine in credits if machine not in known])
-
-    def __iter__(self) -> Iterator[Credit]:
-        return (self.credits[machine] for machine in self._order)
-
-    def probe(self, ask: Ask, ready: bool) -> Credit | None:
-        """Looks at a few credits at a time from the head and takes the first that fits.
-
-        Two exceptions to the design, as our credits are unequal and the talk's are not. When
-        none of the first few fits, the next few are looked at, or a fitting credit further
-        back would never be found. And credits whose machines have the image (`ready`) are
-        looked at before all others, and machines busy fetching last: a fetch takes longer
-        than most starts may.
-        """
-        credits = [
-            credit
-            for credit in self
-            if allowed(credit, ask) and (not ready or ask.image in credit.images)
-        ]
-        credits.sort(key=lambda credit: fetch_rank(credit, ask))
-        for start in range(0, len(credits), c.PROBES):
-            found = _first(credits[start : start + c.PROBES], ask)
-            if found is not None:
-                return found
-        return None
-
-
-def _first(window: list[Credit], ask: Ask) -> Credit | None:
-    return next((credit for credit in window if credit.room.fits(ask.need)), None)
-
-
-def preemptible(victim: Victim, ask: Ask) -> bool:
-    """PROTOCOL: lower priority, or borrowed beyond a guarantee while another team is owed."""
+    def put(self, credit: Credit) -> bool:
+        """Queues or renews a credit; tells whether that changed anything."""
+        if self.credits.get(credit.machine) == credit:
+            return False
+        self.credits[credit.machine] = credit
+        return True
+
+    def remove(self, machine: str) -> None:
+        self.credits.pop(machine, None)
+
+    def head(self, ask: Ask) -> Credit | None:
+        """The design's ordinary path: a few credits from the head, the first that fits."""
+        return next(
+            (
+                credit
+                for credit in islice(self.credits.values(), c.PROBES)
+                if ask.image in credit.images and _takes(credit, ask)
+            ),
+            None,
+        )
+
+
+def _takes(credit: Credit, ask: Ask) -> bool:
+    return credit.room.fits(ask.need) and allowed(credit, ask)
+
+
+def probe(credits: Iterable[Credit], ask: Ask, ready: bool) -> Credit | None:
+    """The first credit that fits, or of those without the image the one least busy fetching.
+
+    Two exceptions to the design, as our credits are unequal and the talk's are not. When
+    none of the first few fits, the others are looked at too, or a fitting credit further back
+    would never be found. And credits whose machines have the image (`ready`) are looked at
+    before all others, and machines busy fetching last: a fetch takes longer than most starts
+    may. The room is compared first, since most credits of a busy fleet have none left.
+    """
+    if ready:
+        return next((x for x in credits if ask.image in x.images and _takes(x, ask)), None)
+    fitting = [credit for credit in credits if _takes(credit, ask)]
+    return min(fitting, key=lambda credit: fetch_rank(credit, ask), default=None)
+
+
+def preemptible(victim: Victim, ask: Ask, over: set[str]) -> bool:
+    """PROTOCOL: lower priority, or borrowed beyond a guarantee while another team is owed.
+
+    `over`: teams that use more than their guarantee.
+    """
     return victim.priority < ask.priority or (
-        ask.guaranteed and victim.over and victim.team != ask.team
+        ask.guaranteed and victim.team in over and victim.team != ask.team
     )
 
 
 def choose_victims(
-    queue: CreditQueue, ask: Ask, ready: bool, below: int
+    credits: Iterable[Credit], ask: Ask, over: set[str], ready: bool, below: int
 ) -> tuple[Credit, list[Victim]] | None:
     """The machine whose emptying for `ask` costs least, and what must stop on it.
 
     `ready`: only machines that have the image; `below`: only victims of lower priority.
     """
     best: tuple[float, Credit, list[Victim]] | None = None
-    for credit in queue:
-        if credit.reserved is not None or not allowed(credit, ask):
+    for credit in credits:
+        if not credit.victims or credit.reserved is not None or not allowed(credit, ask):
             continue
         if ready and ask.image not in credit.images:
             continue
+        candidates = [v for v in credit.victims if v.priority < below and preemptible(v, ask, over)]
+        if not candidates:
+            continue
         room = Room(credit.room.cpus, credit.room.gpus, credit.room.memory)
         chosen: list[Victim] = []
-        candidates = [v for v in credit.victims if preemptible(v, ask) and v.priority < below]
         for victim in sorted(candidates, key=lambda v: (v.priority, v.loss)):
             if room.fits(ask.need):
                 break
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -9,7 +9,6 @@
 from pulleydeal.clock import Clock
 from pulleydeal.credits.messages import (
     Ask,
-    Free,
     Hold,
     Need,
     pack_hold,
@@ -25,6 +24,8 @@
     Waiting,
     choose_victims,
     order,
+    probe,
+    shape,
 )
 from pulleydeal.membership.messages import ASK, FREE, HOLD, Total
 from pulleydeal.membership.service import Membership
@@ -70,36 +71,55 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._queue = CreditQueue()
+        self._dirty: set[str] = set()  # machines whose credit may have changed
         self._asks: dict[TaskId, Waiting] = {}
         self._held: dict[TaskId, Held] = {}
+        self._held_on: dict[str, set[TaskId]] = {}
         self._reserved: dict[str, tuple[TaskId, float]] = {}
+        self._reserved_for: dict[TaskId, str] = {}
         self._images: dict[str, dict[str, float]] = {}  # machine -> image -> GB, oldest first
         self._published: list[Total] = []
+        self._published_at = -1e9
+        self._unpublished = False
+        self._swept_at = -1e9
         self._wake = asyncio.Event()
         siblings.on(ASK, self._on_ask)
         siblings.on(FREE, self._on_free)
-        workers.changed = self._wake.set
+        workers.changed = self._touch
         membership.totals = lambda: self._published
         replica.listen(self._on_change)
 
+    def _touch(self, machine: str) -> None:
+        self._dirty.add(machine)
+        self._wake.set()
+
     def _on_change(self, kind: str, name: str) -> None:
-        if kind == "job":
+        if kind == "bound":
             self._note_images(name)
+            self._touch(name)
+        elif kind == "machine":
+            if name not in self._replica.machines:
+                self._images.pop(name, None)
+            self._touch(name)
+        elif kind in ("view", "catalog"):
+            self._touch_all()
+
+    def _touch_all(self) -> None:
+        self._dirty.update(self._workers.stations, self._queue.credits)
         self._wake.set()
 
-    def _note_images(self, job_id: str) -> None:
+    def _note_images(self, machine: str) -> None:
         """Every binding tells every node which image its machine now has."""
-        job = self._replica.jobs.get(job_id)
-        if job is None or job.spec is None:
-            return
-        for _, task in job.bindings():
-            images = self._images.setdefault(task.machine, {})
-            images.pop(job.spec.image, None)
-            images[job.spec.image] = job.spec.image_gb
-            record = self._replica.machines.get(task.machine)
-            type_ = self._replica.types.get(record.record.type) if record else None
-            while type_ and len(images) > 1 and sum(images.values()) > type_.cache_gb:
-                del images[next(iter(images))]
+        images = self._images.setdefault(machine, {})
+        for job_id, _ in self._replica.bound.get(machine, ()):
+            spec = self._replica.jobs[job_id].spec
+            if spec is not None:
+                images.pop(spec.image, None)
+                images[spec.image] = spec.image_gb
+        record = self._replica.machines.get(machine)
+        type_ = self._replica.types.get(record.record.type) if record else None
+        while type_ and len(images) > 1 and sum(images.values()) > type_.cache_gb:
+            del images[next(iter(images))]
 
     # --- messages -----------------------------------------------------------------------
     def _on_ask(self, leader: str, payload: bytes) -> None:
@@ -114,21 +134,33 @@
                 self._say_held(leader, key, held, now)
                 return
             old = self._asks.get(key)
-            since = old.since if old else now
-            self._asks[key] = Waiting(ask, leader, since, now + c.ASK_TTL_S)
-        if old is None:
+            since, look_at = now, now
+            if old is not None:
+                since = old.since
+                look_at = old.look_at if old.ask == ask else now
+            self._asks[key] = Waiting(ask, leader, since, now + c.ASK_TTL_S, look_at)
+        if look_at == now:
             self._wake.set()
 
     def _on_free(self, _leader: str, payload: bytes) -> None:
         free = unpack_free(payload)
         if free.epoch == self._membership.epoch:
-            self._release(free)
+            with self._lock:
+                self._asks.pop((free.job, free.index), None)
+                self._let_go((free.job, free.index))
 
-    def _release(self, free: Free) -> None:
-        with self._lock:
-            self._asks.pop((free.job, free.index), None)
-            self._held.pop((free.job, free.index), None)
-        self._wake.set()
+    def _let_go(self, key: TaskId) -> None:
+        held = self._held.pop(key, None)
+        if held is not None:
+            self._held_on[held.machine].discard(key)
+            if not self._held_on[held.machine]:
+                del self._held_on[held.machine]
+            self._touch(held.machine)
+
+    def _unreserve(self, machine: str) -> None:
+        key, _ = self._reserved.pop(machine)
+        self._reserved_for.pop(key, None)
+        self._touch(machine)
 
     def _say_held(self, leader: str, key: TaskId, held: Held, now: float) -> None:
         hold = Hold(self._membership.epoch, *key, held.machine, held.until - now)
@@ -136,7 +168,7 @@
         asyncio.get_running_loop().call_soon(self._siblings.send, leader, HOLD, pack_hold(hold))
 
     # --- credits --------------------------------------------------------------------------
-    def _credit(self, station: Station, usage: dict[str, tuple[float, float]]) -> Credit | None:
+    def _credit(self, station: Station) -> Credit | None:
         record = self._replica.machines.get(station.id)
         type_ = self._replica.types.get(station.type)
         if record is None or record.record.state != "up" or type_ is None:
@@ -154,14 +186,14 @@
                 continue
             room.take(need_of(spec))
             if not task.stop and spec.priority < len(r.PRIORITIES) - 1:
-                victims.append(self._victim(job_id, index, task, spec, usage))
+                victims.append(_victim(index, task, spec))
         for task_id, entry in station.entries.items():
             job = self._replica.jobs.get(task_id[0])
             if task_id not in bound and entry.state != "exited" and job and job.spec:
                 room.take(need_of(job.spec))  # unbound, but still there until it is killed
-        for task_id, held in self._held.items():
-            if held.machine == station.id and task_id not in bound:
-                room.take(held.need)
+        for task_id in self._held_on.get(station.id, ()):
+            if task_id not in bound:
+                room.take(self._held[task_id].need)
         reserved = self._reserved.get(station.id)
         fetching = self._fetching(station)
         return Credit(
@@ -185,50 +217,54 @@
                 found.add(job.spec.image)
         return frozenset(found)
 
-    def _victim(
-        self,
-        job_id: str,
-        index: int,
-        task: r.Task,
-        spec: r.JobSpec,
-        usage: dict[str, tuple[float, float]],
-    ) -> Victim:
-        team = self._teams.get(spec.team)
-        cpus, gpus = usage.get(spec.team, (0.0, 0.0))
-        over = team is not None and (
-            (team.gpus > 0 and gpus > team.gpus) or (team.cpus > 0 and cpus > team.cpus)
-        )
-        loss = spec.checkpoint_s or spec.estimate_s or 60.0
-        if spec.kind == "gang":
-            loss *= spec.tasks
-        return Victim(
-            job_id, index, task.attempt, need_of(spec), spec.priority, loss, over, spec.team
-        )
+    def _over(self) -> set[str]:
+        """Teams that use more than their guarantee."""
+        over = set()
+        for name, (cpus, gpus) in self._replica.usage().items():
+            team = self._teams.get(name)
+            if team is not None and (0 < team.gpus < gpus or 0 < team.cpus < cpus):
+                over.add(name)
+        return over
 
     def _expire(self, now: float) -> None:
-        for key, waiting in list(self._asks.items()):
-            if waiting.until < now:
-                del self._asks[key]
+        for key in [key for key, waiting in self._asks.items() if waiting.until < now]:
+            del self._asks[key]
         for key, held in list(self._held.items()):
             if held.until < now or key in self._replica.bound.get(held.machine, {}):
-                del self._held[key]
+                self._let_go(key)
         for machine, (key, until) in list(self._reserved.items()):
             # A task that went elsewhere, or may no longer run here, must not keep the room:
             # it would neither use it nor look at any other credit until the time is up.
             if until < now or not self._still_wanted(machine, key):
-                del self._reserved[machine]
-        for machine in [m for m in self._images if m not in self._replica.machines]:
-            del self._images[machine]
+                self._unreserve(machine)
 
     def _still_wanted(self, machine: str, key: TaskId) -> bool:
         waiting = self._asks.get(key)
         station = self._workers.stations.get(machine)
         return waiting is not None and station is not None and station.zone in waiting.ask.zones
 
+    def _renew(self) -> list[Credit]:
+        """Renews the credits of machines that changed, and tells which ones did.
+
+        Renewing all of them each time cost most of a core at some hundred machines.
+        """
+        changed = []
+        dirty, self._dirty = self._dirty, set()
+        for machine in dirty:
+            station = self._workers.stations.get(machine)
+            credit = self._credit(station) if station is not None else None
+            if credit is None:
+                self._unpublished |= machine in self._queue.credits
+                self._queue.remove(machine)
+            elif self._queue.put(credit):
+                changed.append(credit)
+        self._unpublished |= bool(changed)
+        return changed
+
     async def work(self) -> None:
         """One round: credits are renewed and given to the asks that wait, best first."""
         try:
-            async with asyncio.timeout(0.5):
+            async with asyncio.timeout(c.PUBLISH_S if self._unpublished else c.CREDIT_TICK_S):
                 await self._wake.wait()
         except TimeoutError:
             pass
@@ -238,26 +274,56 @@
         stops = []
         now = self._clock.now()
         with self._lock:
+            if now - self._swept_at > c.CREDIT_SWEEP_S:
+                self._swept_at = now
+                self._touch_all()  # silence changes a credit too, and says nothing
             self._expire(now)
-            usage = self._replica.usage()
-            credits = {}
-            for machine, station in self._workers.stations.items():
-                credit = self._credit(station, usage)
-                if credit is not None:
-                    credits[machine] = credit
-            self._queue.refresh(credits)
-            for waiting in sorted(self._asks.values(), key=order):
-                stops += self._serve(waiting, now)
-            self._publish()
+            changed = self._renew()
+            self._wake.clear()  # what was touched meanwhile has just been renewed
+            stops = self._serve_all(changed, now)
+            if self._unpublished and now - self._published_at >= c.PUBLISH_S:
+                self._published_at = now
+                self._publish()
         for victim, why in stops:
             self._workers.stop(victim.job, victim.index, victim.attempt, why)
-        await asyncio.sleep(0.01)  # let changes of one moment share a round
+        await asyncio.sleep(c.ROUND_SPACING_S)  # let changes of one moment share a round
+
+    def _serve_all(self, changed: list[Credit], now: float) -> list[tuple[Victim, str]]:
+        """A new ask looks at all credits; one that found none, at those that changed since."""
+        due = [
+            waiting
+            for waiting in self._asks.values()
+            if changed
+            or waiting.look_at <= now
+            or (waiting.ask.job, waiting.ask.index) in self._reserved_for
+        ]
+        stops: list[tuple[Victim, str]] = []
+        failed: set[tuple[object, ...]] = set()
+        over = self._over()
+        for waiting in sorted(due, key=order):
+            full = waiting.look_at <= now
+            may_stop = now - waiting.since >= c.PREEMPT_AFTER_S
+            key = (waiting.ask.job, waiting.ask.index)
+            own = key in self._reserved_for
+            kind = (full, may_stop, *shape(waiting.ask))
+            if full:
+                again = c.LOOK_AGAIN_S if may_stop else c.PREEMPT_AFTER_S
+                waiting.look_at = now + again
+            if not own and kind in failed:
+                continue
+            credits = self._queue.credits.values() if full else changed
+            stopped = self._serve(waiting, list(credits), over, may_stop, now)
+            stops += stopped
+            if not own and not stopped and key in self._asks:
+                failed.add(kind)
+        return stops
 
-    def _serve(self, waiting: Waiting, now: float) -> list[tuple[Victim, str]]:
+    def _serve(
+        self, waiting: Waiting, credits: list[Credit], over: set[str], may_stop: bool, now: float
+    ) -> list[tuple[Victim, str]]:
         ask = waiting.ask
-        key = (ask.job, ask.index)
-        reserved = next((m for m, (k, _) in self._reserved.items() if k == key), None)
-        credit = self._queue.probe(ask, ready=True)
+        reserved = self._reserved_for.get((ask.job, ask.index))
+        credit = self._queue.head(ask) or probe(credits, ask, ready=True)
         if credit is None and reserved is not None:
             # The room that was made for it, even where the image is missing.
             own = self._queue.credits.get(reserved)
@@ -270,14 +336,14 @@
         if self._worth_room(ask):
             # A start on a machine with the image beats an idle machine without: the fetch
             # would take longer than what the stopped tasks lose.
-            chosen = choose_victims(self._queue, ask, ready=True, below=c.ROOM_BELOW)
+            chosen = choose_victims(credits, ask, over, ready=True, below=c.ROOM_BELOW)
             if chosen is not None:
                 return self._reserve(ask, *chosen, now)
-        credit = self._queue.probe(ask, ready=False)
+        credit = probe(credits, ask, ready=False)
         if credit is not None:
             self._hold(waiting, credit, now)
-        elif now - waiting.since >= c.PREEMPT_AFTER_S:
-            chosen = choose_victims(self._queue, ask, ready=False, below=len(r.PRIORITIES))
+        elif may_stop:
+            chosen = choose_victims(credits, ask, over, ready=False, below=len(r.PRIORITIES))
             if chosen is not None:
                 return self._reserve(ask, *chosen, now)
         return []
@@ -293,14 +359,16 @@
         ask = waiting.ask
         key = (ask.job, ask.index)
         credit.room.take(ask.need)
+        self._unpublished = True
         until = now + (c.GANG_HOLD_S if ask.gang else c.HOLD_S)
         held = self._held[key] = Held(credit.machine, ask.need, until)
+        self._held_on.setdefault(credit.machine, set()).add(key)
         del self._asks[key]
-        for machine, (task_id, _) in list(self._reserved.items()):
-            if task_id == key:
-                del self._reserved[machine]
-                if machine in self._queue.credits:
-                    self._queue.credits[machine].reserved = None
+        machine = self._reserved_for.get(key)
+        if machine is not None:
+            self._unreserve(machine)
+            if machine in self._queue.credits:
+                self._queue.credits[machine].reserved = None
         self._say_held(waiting.leader, key, held, now)
 
     def _reserve(
@@ -308,14 +376,18 @@
     ) -> list[tuple[Victim, str]]:
         key = (ask.job, ask.index)
         self._reserved[credit.machine] = (key, now + c.RESERVE_S)
+        self._reserved_for[key] = credit.machine
         credit.reserved = key
+        self._unpublished = True
         why = f"made room for {ask.job} ({r.PRIORITIES[ask.priority]} priority)"
         log.info("machine %s: %d tasks stop for %s/%d", credit.machine, len(victims), *key)
         return [(victim, why) for victim in victims]
 
     def _publish(self) -> None:
+        self._unpublished = False
         totals: dict[tuple[str, str, bool], Total] = {}
-        for credit in self._queue:
+        images: dict[tuple[str, str, bool], set[str]] = {}
+        for credit in self._queue.credits.values():
             kind = (credit.type, credit.zone, credit.spot)
             total = totals.setdefault(kind, Total(*kind))
             if credit.reserved is not None:
@@ -325,8 +397,10 @@
             total.memory += max(0.0, credit.room.memory)
             total.largest_cpus = max(total.largest_cpus, credit.room.cpus)
             total.largest_gpus = max(total.largest_gpus, credit.room.gpus)
-            if credit.room.cpus > 0 and len(total.images) < c.PUBLISHED_IMAGES:
-                total.images += sorted(credit.images.difference(total.images))
+            if credit.room.cpus > 0:
+                images.setdefault(kind, set()).update(credit.images)
+        for kind, names in images.items():
+            totals[kind].images = sorted(names)[: c.PUBLISHED_IMAGES]
         old, self._published = self._published, list(totals.values())
         if old != self._published:
             self._membership.send_beat()  # the signal: credit changed
@@ -334,6 +408,13 @@
         self._metrics.asks.set(len(self._asks))
 
 
+def _victim(index: int, task: r.Task, spec: r.JobSpec) -> Victim:
+    loss = spec.checkpoint_s or spec.estimate_s or 60.0
+    if spec.kind == "gang":
+        loss *= spec.tasks
+    return Victim(spec.id, index, task.attempt, need_of(spec), spec.priority, loss, spec.team)
+
+
 def ask_for(
     spec: r.JobSpec, index: int, epoch: int, guaranteed: bool, zones: list[str], avoid: list[str]
 ) -> Ask:
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -38,6 +38,10 @@
     refused: set[Kind]
     spare: list[r.JobSpec] = field(default_factory=list)  # room kept for jobs like these
     new: list[Space] = field(default_factory=list)
+    # Rooms only shrink while a plan is made: what did not fit a task does not fit the next of
+    # its shape, so each shape goes on where it last found room instead of from the start.
+    reached: dict[tuple[object, ...], int] = field(default_factory=dict)
+    there: Counter[str] = field(default_factory=Counter)  # machines by zone
 
 
 def prompt_classes(objectives: list[Objective], boot_s: float) -> tuple[set[str], bool]:
@@ -82,6 +86,7 @@
 def missing(demand: Demand) -> Counter[Kind]:
     """Packs the waiting tasks into the room there is; what is left over is to be rented."""
     left = c.PLAN_TASKS
+    demand.there = Counter(space.kind[1] for space in demand.spaces)
     for job in demand.jobs:
         spec = job.spec
         if spec is None or spec.team not in demand.teams:
@@ -116,20 +121,24 @@
 
 
 def _fit(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
-    for space in demand.spaces + demand.new:
+    shape = (need, spec.spot, tuple(spec.types or ()), tuple(sorted(zones)))
+    old = len(demand.spaces)
+    for at in range(demand.reached.get(shape, 0), old + len(demand.new)):
+        space = demand.spaces[at] if at < old else demand.new[at - old]
         type_, zone, spot = space.kind
         if (
-            zone in zones
+            space.room.fits(need)
+            and zone in zones
             and (spec.spot or not spot)
             and (spec.types is None or type_ in spec.types)
-            and space.room.fits(need)
         ):
+            demand.reached[shape] = at
             return space
+    demand.reached[shape] = old + len(demand.new)
     return None
 
 
 def _add(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
-    there = Counter(space.kind[1] for space in demand.spaces + demand.new)
     options: list[tuple[float, int, Kind]] = []
     for type_ in demand.types.values():
         if spec.types is not None and type_.name not in spec.types:
@@ -144,11 +153,12 @@
                 price = type_.spot_price if spot else type_.price
                 if spot and price > c.SPOT_DISCOUNT * type_.price:
                     continue
-                options.append((price, there[zone], kind))
+                options.append((price, demand.there[zone], kind))
     if not options:
         return None
     _, _, kind = min(options)
     type_ = demand.types[kind[0]]
     space = Space(kind, Room(type_.cpus, type_.gpus, type_.memory))
     demand.new.append(space)
+    demand.there[kind[1]] += 1
     return space
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 import msgspec
 
@@ -31,6 +32,7 @@
         zones: list[str],
         objectives: list[Objective],
         clock: Clock,
+        txn_ops: int,
     ) -> None:
         self._membership = membership
         self._store = store
@@ -39,6 +41,7 @@
         self._teams = teams
         self._zones = zones
         self._objectives = objectives
+        self._batch = min(txn_ops, c.RECORDS_AT_ONCE)  # machine records in one transaction
         self._recent: dict[str, dict[str, tuple[float, r.JobSpec]]] = {}  # class -> job -> came
         self._clock = clock
         self._serial = 0
@@ -74,7 +77,7 @@
                 await self._wake.wait()
         except TimeoutError:
             pass
-        await asyncio.sleep(0.2)  # let the placement use what is there
+        await asyncio.sleep(c.FLEET_SPACING_S)  # let the placement use what is there
         self._wake.clear()
         if not self._membership.leads_fleet() or not self._replica.types:
             return
@@ -86,7 +89,9 @@
         for (type_, zone, spot), count in missing.items():
             self._serial += 1
             name = f"{self._membership.me}-{self._membership.incarnation}-{self._serial}"
-            record = r.RentalRecord(type_, zone, spot, min(count, c.MAX_HIRE), self._clock.wall())
+            record = r.RentalRecord(
+                type_, zone, spot, min(count, self._batch - 1), self._clock.wall()
+            )
             # Durable before it is asked for: whoever leads next repeats it under this name.
             if await self._store.commit(
                 {r.VIEW: self._replica.view_version, r.rental_key(name): 0},
@@ -115,7 +120,7 @@
             jobs,
             plan.spaces(self._replica, self._clock.wall()),
             dict(self._replica.usage()),
-            {m: rec.record.zone for m, rec in self._replica.machines.items()},
+            self._replica.zone_of,
             self._replica.types,
             self._teams,
             self._zones,
@@ -181,6 +186,7 @@
         except (CloudTrouble, NoCapacity) as error:
             log.debug("no list: %s", error)
             return
+        failed = []
         for entry in listed:
             machine = self._replica.machines.get(entry.id)
             type_ = self._replica.types.get(entry.type)
@@ -190,7 +196,8 @@
                 ):
                     await self._cloud_return([entry.id])
             elif machine.record.state in ("up", "boot") and entry.state == "failed":
-                await self._mark(machine, "failed")
+                failed.append(machine)
+        await self._mark(failed, "failed")
 
     def _late(self, age_s: float, type_: r.MachineType) -> bool:
         return age_s > c.BOOT_FACTOR * type_.boot_s + c.LIST_EVERY_S
@@ -203,16 +210,14 @@
             return False
         return True
 
-    async def _mark(self, machine: Machine, why: str) -> bool:
-        key = r.machine_key(machine.id)
-        record = msgspec.structs.replace(
-            machine.record, state="drain", why=why, at=self._clock.wall()
-        )
-        conditions = {key: machine.version, r.VIEW: self._replica.view_version}
-        ok = await self._store.commit(conditions, {key: record}, urgent=False)
-        if ok:
+    async def _mark(self, machines: list[Machine], why: str) -> None:
+        wall = self._clock.wall()
+
+        def drain(old: r.MachineRecord) -> r.MachineRecord:
+            return msgspec.structs.replace(old, state="drain", why=why, at=wall)
+
+        for machine in await self._rewrite(machines, drain, urgent=False):
             log.info("machine %s is to go: %s", machine.id, why)
-        return ok
 
     # --- returning ------------------------------------------------------------------------
     async def give_back(self) -> None:
@@ -225,8 +230,7 @@
         for start in range(0, len(ready), c.RETURN_BATCH):
             batch = ready[start : start + c.RETURN_BATCH]
             if await self._cloud_return([m.id for m in batch]):
-                for machine in batch:
-                    await self._record_gone(machine.id)
+                await self._record_gone([machine.id for machine in batch])
         await self._purge()
 
     def _returnable(self, machine: Machine) -> bool:
@@ -238,14 +242,41 @@
         seen = self._replica.revision >= machine.version
         return seen and not self._replica.bound.get(machine.id)
 
-    async def _record_gone(self, machine_id: str) -> None:
-        machine = self._replica.machines.get(machine_id)
-        while machine is not None and machine.record.state != "gone":
-            key = r.machine_key(machine_id)
-            record = msgspec.structs.replace(machine.record, state="gone", at=self._clock.wall())
-            if await self._store.commit({key: machine.version}, {key: record}):
-                log.info("machine %s given back (%s)", machine_id, machine.record.why)
-            machine = self._replica.machines.get(machine_id)
+    async def _record_gone(self, machines: list[str]) -> None:
+        wall = self._clock.wall()
+
+        def gone(old: r.MachineRecord) -> r.MachineRecord:
+            return msgspec.structs.replace(old, state="gone", at=wall)
+
+        while left := [
+            machine
+            for machine in map(self._replica.machines.get, machines)
+            if machine is not None and machine.record.state != "gone"
+        ]:
+            for machine in await self._rewrite(left, gone, urgent=True):
+                log.info("machine %s given back (%s)", machine.id, machine.record.why)
+
+    async def _rewrite(
+        self,
+        machines: list[Machine],
+        change: Callable[[r.MachineRecord], r.MachineRecord | None],
+        urgent: bool,
+    ) -> list[Machine]:
+        """Changes records (None: drops them), many in one transaction; tells which it did."""
+        written = []
+        for start in range(0, len(machines), self._batch):
+            batch = machines[start : start + self._batch]
+            conditions = {r.machine_key(m.id): m.version for m in batch}
+            conditions[r.VIEW] = self._replica.view_version
+            new = {r.machine_key(m.id): change(m.record) for m in batch}
+            puts: dict[str, object] = {k: v for k, v in new.items() if v is not None}
+            drops = [k for k, v in new.items() if v is None]
+            if await self._store.commit(conditions, puts, drops, urgent=urgent):
+                written += batch
+            elif len(batch) > 1:
+                for machine in batch:  # one of them moved: the others need not wait for it
+                    written += await self._rewrite([machine], change, urgent)
+        return written
 
     async def _mark_unneeded(self) -> None:
         now, wall = self._clock.now(), self._clock.wall()
@@ -253,19 +284,21 @@
         demand = self._demand()
         plan.missing(demand)  # what waiting tasks will take is not idle
         untouched = self._untouched(demand)
-        for machine in list(self._replica.machines.values()):
+        late = []
+        for machine in self._replica.machines.values():
             rec = machine.record
             type_ = self._replica.types.get(rec.type)
             if type_ is None:
                 continue
             if rec.state == "boot" and self._late(wall - rec.at, type_):
-                await self._mark(machine, "never came up")
+                late.append(machine)
             elif rec.state == "up" and machine.id in untouched:
                 idle[machine.id] = self._idle_since.get(machine.id, now)
         self._idle_since = idle
-        for machine_id, since in idle.items():
-            if now - since > c.IDLE_RETURN_S:
-                await self._mark(self._replica.machines[machine_id], "idle")
+        await self._mark(late, "never came up")
+        old = [machine for machine, since in idle.items() if now - since > c.IDLE_RETURN_S]
+        machines = [self._replica.machines.get(machine) for machine in old]
+        await self._mark([m for m in machines if m and m.record.state == "up"], "idle")
 
     def _untouched(self, demand: plan.Demand) -> set[str]:
         """Machines with nothing bound that the plan does not need either."""
@@ -279,8 +312,11 @@
 
     async def _purge(self) -> None:
         wall = self._clock.wall()
-        for machine in list(self._replica.machines.values()):
-            old = machine.record.state == "gone" and wall - machine.record.at > c.GONE_KEEP_S
-            if old and not self._replica.bound.get(machine.id):
-                key = r.machine_key(machine.id)
-                await self._store.commit({key: machine.version}, {}, [key], urgent=False)
+        old = [
+            machine
+            for machine in self._replica.machines.values()
+            if machine.record.state == "gone"
+            and wall - machine.record.at > c.GONE_KEEP_S
+            and not self._replica.bound.get(machine.id)
+        ]
+        await self._rewrite(old, lambda record: None, urgent=False)
--- a/pulleydeal/membership/view.py
+++ b/pulleydeal/membership/view.py
@@ -1,6 +1,7 @@
 """Plain decisions about the view: who owns and leads what, and how the view changes next."""
 
 import hashlib
+from functools import lru_cache
 
 import msgspec
 
@@ -8,6 +9,7 @@
 from pulleydeal.store.records import View
 
 
+@lru_cache(maxsize=c.WEIGHTS_KEPT)
 def _weight(member: str, thing: str) -> bytes:
     return hashlib.blake2b(f"{member}\0{thing}".encode(), digest_size=8).digest()
 
--- /dev/null
+++ b/pulleydeal/placement/parts.py
@@ -0,0 +1,75 @@
+"""Where a task waits for credit: plain functions over what the parts have published."""
+
+from collections import Counter
+
+from pulleydeal import constants as c
+from pulleydeal.membership.messages import Total
+from pulleydeal.placement.pending import Pending
+from pulleydeal.store import records as r
+
+Score = tuple[bool, bool, float]  # has a fitting machine, one with the image, free room
+
+
+def suits(spec: r.JobSpec, total: Total) -> bool:
+    return (spec.spot or not total.spot) and (spec.types is None or total.type in spec.types)
+
+
+class Parts:
+    """The parts as published at one moment; what is worked out for a job is remembered."""
+
+    def __init__(self, published: dict[str, list[Total]], now: float) -> None:
+        self._published = published
+        self._now = now
+        self._scores: dict[tuple[str, tuple[str, ...]], dict[str, Score]] = {}
+
+    def room(self, spec: r.JobSpec) -> Counter[str]:
+        """Published room by zone."""
+        room: Counter[str] = Counter()
+        for totals in self._published.values():
+            for total in totals:
+                if suits(spec, total):
+                    room[total.zone] += int(total.gpus * 100 + total.cpus)
+        return room
+
+    def _score(self, spec: r.JobSpec, zones: list[str], part: str) -> Score:
+        fitting = [t for t in self._published[part] if t.zone in zones and suits(spec, t)]
+        largest = [
+            t for t in fitting if t.largest_cpus >= spec.cpus and t.largest_gpus >= spec.gpus
+        ]
+        ready = any(spec.image in t.images for t in largest)
+        return bool(largest), ready, sum(t.gpus + t.cpus / 100 for t in fitting)
+
+    def scores(self, spec: r.JobSpec, zones: list[str]) -> dict[str, Score]:
+        key = (spec.id, tuple(zones))
+        found = self._scores.get(key)
+        if found is None:
+            found = {part: self._score(spec, zones, part) for part in self._published}
+            self._scores[key] = found
+        return found
+
+    def choose(self, spec: r.JobSpec, index: int, zones: list[str], pending: Pending | None) -> str:
+        """The part to wait at: by published credit; without any, in turn."""
+        if not self._published or not zones:
+            return ""
+        scores = self.scores(spec, zones)
+        now = self._now
+        if (
+            pending is not None
+            and pending.part in scores
+            and now - pending.asked_at < c.ASK_TTL_S
+            and (scores[pending.part][0] or now - pending.since < c.ASK_REPEAT_S)
+        ):
+            return pending.part
+        best = max(scores, key=lambda p: (*scores[p], p))
+        if scores[best][0]:
+            return best
+        # Nobody has room: wait in one queue at a time, where there are machines to empty.
+        owners = [
+            p
+            for p in sorted(self._published)
+            if any(t.zone in zones and (spec.spot or not t.spot) for t in self._published[p])
+        ]
+        if not owners:
+            return ""
+        since = pending.since if pending else now
+        return owners[(index + int((now - since) / c.RESERVE_S)) % len(owners)]
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -4,18 +4,19 @@
 import logging
 import threading
 from collections import Counter
-from dataclasses import dataclass
 from functools import partial
 
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.credits.messages import Free, pack_ask, pack_free, unpack_hold
 from pulleydeal.credits.service import ask_for
-from pulleydeal.membership.messages import ASK, FREE, HOLD, Total
+from pulleydeal.membership.messages import ASK, FREE, HOLD
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
 from pulleydeal.placement import rules
+from pulleydeal.placement.parts import Parts
+from pulleydeal.placement.pending import Pending, PendingAsks, TaskId
 from pulleydeal.settings import Team
 from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
@@ -25,20 +26,6 @@
 from pulleydeal.workers.station import Exit
 
 log = logging.getLogger("pulleydeal.placement")
-TaskId = tuple[str, int]
-
-
-@dataclass(slots=True)
-class Pending:
-    """A waiting task that has asked a part for credit."""
-
-    part: str
-    asked_at: float
-    since: float
-    zones: list[str]
-    machine: str = ""  # held there
-    until: float = 0.0
-    writing: bool = False
 
 
 class Placement:
@@ -61,22 +48,29 @@
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._pending: dict[TaskId, Pending] = {}
+        self._pending = PendingAsks()
         self._failed: dict[TaskId, tuple[int, float]] = {}  # fails seen, not before
         self._avoid: dict[str, set[str]] = {}
         self._last: dict[TaskId, str] = {}  # where a task last ran
         self._gang_zone: dict[str, tuple[str, float]] = {}
         self._reasons: dict[str, str] = {}
         self._clearing: set[str] = set()
+        self._gone: set[str] = set()  # machines given back, perhaps with bindings left
+        self._inside: set[str] = set()  # jobs within their team's guarantee
+        self._inside_at = -1  # the replica's count of open jobs' changes for which that holds
+        self._tidied_at = -1e9
         self._wake = asyncio.Event()
         siblings.on(HOLD, self._on_hold)
         store.replica.listen(self._on_change)
 
-    def _on_change(self, kind: str, _name: str) -> None:
+    def _on_change(self, kind: str, name: str) -> None:
         if kind == "view":
             with self._lock:
-                # Holds and asks belong to an epoch; writes under way are settled by marks.
-                self._pending = {k: p for k, p in self._pending.items() if p.writing}
+                self._pending.keep_writing()
+            # Whoever led before may have left some; and after a load no machine was told of.
+            self._gone.update(self._replica.bound)
+        elif kind in ("machine", "bound"):
+            self._gone.add(name)
         self._wake.set()
 
     def reason(self, job: str) -> str:
@@ -94,41 +88,51 @@
             return
         now = self._clock.now()
         self._round(now)
-        await asyncio.sleep(0.01)  # let changes of one moment share a round
+        await asyncio.sleep(c.ROUND_SPACING_S)  # let changes of one moment share a round
 
     def _round(self, now: float) -> None:
         jobs = [self._replica.jobs[job] for job in self._replica.open_jobs]
         mine = [j for j in jobs if j.spec is not None and self._membership.leads_job(j.spec)]
+        self._release_gone()
         for job in mine:
-            self._release_gone(job)
             if not job.is_open and not job.bound:
                 self._sweep(job)
         self._forget(now)
         self._reasons = {}
-        inside = rules.guaranteed_jobs([j for j in jobs if j.is_open], self._teams)
-        usage = dict(self._replica.usage())
-        for key, pending in self._pending.items():
-            spec = self._spec(key[0])
-            if spec is not None and not self._is_bound(key) and not pending.writing:
-                usage[spec.team] = rules.add(
-                    usage.get(spec.team, (0.0, 0.0)), (spec.cpus, spec.gpus)
-                )
-        for (_, _), (team, amount) in self._writing_amounts().items():
-            usage[team] = rules.add(usage.get(team, (0.0, 0.0)), amount)
-        parts = self._membership.parts()
+        if self._inside_at != self._replica.open_changes:
+            self._inside_at = self._replica.open_changes
+            self._inside = rules.guaranteed_jobs([j for j in jobs if j.is_open], self._teams)
+        inside = self._inside
+        usage = self._usage()
+        parts = Parts(self._membership.parts(), now)
 
         def rank(job: Job) -> tuple[int, bool, float, str]:
             assert job.record is not None and job.spec is not None
             return (-job.spec.priority, job.id not in inside, job.record.at, job.id)
 
         waiting: Counter[str] = Counter()
-        for job in sorted((j for j in mine if j.is_open), key=rank):
+        incomplete = [
+            j for j in mine if j.is_open and j.spec is not None and j.done + j.bound < j.spec.tasks
+        ]
+        for job in sorted(incomplete, key=rank):
             self._place(job, job.id in inside, usage, parts, now)
             if job.id in self._reasons:
                 waiting[self._reasons[job.id]] += 1
         for reason in ("team limit", "credit", "back-off"):
             self._metrics.waiting.labels(reason).set(waiting[reason])
 
+    def _usage(self) -> dict[str, rules.Amount]:
+        """What is bound, being bound, or has asked for credit."""
+        usage = dict(self._replica.usage())
+        for job_id in self._pending.jobs():
+            job = self._replica.jobs.get(job_id)
+            if job is None or job.spec is None:
+                continue
+            count = sum(index not in job.on_machines for index in self._pending.of(job_id))
+            amount = (job.spec.cpus * count, job.spec.gpus * count)
+            usage[job.spec.team] = rules.add(usage.get(job.spec.team, (0.0, 0.0)), amount)
+        return usage
+
     def _spec(self, job: str) -> r.JobSpec | None:
         found = self._replica.jobs.get(job)
         return found.spec if found else None
@@ -140,31 +144,31 @@
     def _writing_amounts(self) -> dict[TaskId, tuple[str, rules.Amount]]:
         """What bindings under way would use, as far as the replica does not show it yet."""
         found = {}
-        for key, pending in self._pending.items():
+        for key in self._pending.writing():
             spec = self._spec(key[0])
-            if pending.writing and spec is not None and not self._is_bound(key):
+            if spec is not None and not self._is_bound(key):
                 found[key] = (spec.team, (spec.cpus, spec.gpus))
         return found
 
-    def _release_gone(self, job: Job) -> None:
+    def _release_gone(self) -> None:
         """A machine that is durably gone took all its tasks with it."""
-        for index, task in job.bindings():
-            record = self._replica.machines.get(task.machine)
-            gone = record is not None and record.record.state == "gone"
-            key = f"{job.id}/{index}"
-            if gone and key not in self._clearing:
+        for machine in list(self._gone):
+            record = self._replica.machines.get(machine)
+            bound = self._replica.bound.get(machine)
+            if not bound or record is None or record.record.state != "gone":
+                self._gone.discard(machine)  # its next change is told again
+                continue
+            for (job_id, index), task in bound.items():
+                spec = self._spec(job_id)
+                key = f"{job_id}/{index}"
+                if spec is None or key in self._clearing or not self._membership.leads_job(spec):
+                    continue
                 self._clearing.add(key)
-                proof = Exit(
-                    job.id,
-                    index,
-                    task.attempt,
-                    task.machine,
-                    "lost",
-                    task.stop or "its machine is gone",
-                )
-                log.info("task %s attempt %d: machine %s is gone", key, task.attempt, task.machine)
+                why = task.stop or "its machine is gone"
+                proof = Exit(job_id, index, task.attempt, machine, "lost", why)
+                log.info("task %s attempt %d: machine %s is gone", key, task.attempt, machine)
                 future = self._store.change_job(
-                    job.id, partial(apply_exit, gone=proof), urgent=True
+                    job_id, partial(apply_exit, gone=proof), urgent=True
                 )
                 future.add_done_callback(partial(self._cleared, key))
 
@@ -180,25 +184,27 @@
 
     def _forget(self, now: float) -> None:
         with self._lock:
-            for key, pending in list(self._pending.items()):
-                if pending.writing:
-                    continue
-                job = self._replica.jobs.get(key[0])
-                if job is None or not job.is_open or self._is_bound(key):
-                    self._drop(key, tell=not self._is_bound(key))
-                elif pending.machine and now > pending.until:
-                    self._drop(key, tell=True)
-        for job_id in [j for j in self._avoid if j not in self._replica.open_jobs]:
-            del self._avoid[job_id]
-        for key in [k for k in self._failed if k[0] not in self._replica.open_jobs]:
-            del self._failed[key]
-        for key in [k for k in self._last if k[0] not in self._replica.open_jobs]:
-            del self._last[key]
-        for job_id in [j for j in self._gang_zone if j not in self._replica.open_jobs]:
-            del self._gang_zone[job_id]
+            for job_id in self._pending.jobs():
+                job = self._replica.jobs.get(job_id)
+                for index, pending in list(self._pending.of(job_id).items()):
+                    if pending.writing:
+                        continue
+                    key = (job_id, index)
+                    if job is None or not job.is_open or index in job.on_machines:
+                        self._drop(key, tell=not self._is_bound(key))
+                    elif pending.machine and now > pending.until:
+                        self._drop(key, tell=True)
+        if now - self._tidied_at < c.TIDY_S:
+            return
+        self._tidied_at = now
+        alive = self._replica.open_jobs
+        self._avoid = {job: v for job, v in self._avoid.items() if job in alive}
+        self._failed = {key: v for key, v in self._failed.items() if key[0] in alive}
+        self._last = {key: v for key, v in self._last.items() if key[0] in alive}
+        self._gang_zone = {job: v for job, v in self._gang_zone.items() if job in alive}
 
     def _drop(self, key: TaskId, tell: bool) -> None:
-        pending = self._pending.pop(key, None)
+        pending = self._pending.pop(key)
         if pending is not None and tell:
             free = Free(self._membership.epoch, *key)
             self._siblings.send(pending.part, FREE, pack_free(free))
@@ -209,7 +215,7 @@
         job: Job,
         guaranteed: bool,
         usage: dict[str, rules.Amount],
-        parts: dict[str, list[Total]],
+        parts: Parts,
         now: float,
     ) -> None:
         spec = job.spec
@@ -220,10 +226,10 @@
         if spec.kind == "gang" and job.bound:
             self._reasons[job.id] = "the last attempt's tasks are still leaving"
             return
-        open_asks = sum(1 for key in self._pending if key[0] == job.id)
+        open_asks = len(self._pending.of(job.id))
         for index in job.waiting(c.MAX_ASKS_PER_JOB):
             key = (job.id, index)
-            pending = self._pending.get(key)
+            pending = self._pending.of(job.id).get(index)
             if pending is None:
                 if open_asks >= c.MAX_ASKS_PER_JOB:
                     break
@@ -237,7 +243,8 @@
                 usage[spec.team] = after
                 open_asks += 1
             self._reasons.setdefault(job.id, "credit")
-            self._ask(job, key, guaranteed, parts, now)
+            if pending is None or now >= pending.look_at:
+                self._ask(job, key, pending, guaranteed, parts, now)
         if spec.kind == "gang":
             self._try_gang(job, now)
 
@@ -257,17 +264,17 @@
         self,
         job: Job,
         key: TaskId,
+        pending: Pending | None,
         guaranteed: bool,
-        parts: dict[str, list[Total]],
+        parts: Parts,
         now: float,
     ) -> None:
         spec = job.spec
         assert spec is not None
-        pending = self._pending.get(key)
         if pending is not None and (pending.machine or pending.writing):
             return
         zones = self._zones_for(job, key, parts, now)
-        part = self._part(spec, key, zones, parts, pending, now)
+        part = parts.choose(spec, key[1], zones, pending)
         if not part:
             return
         moved = pending is not None and (pending.part != part or pending.zones != zones)
@@ -275,18 +282,20 @@
             self._drop(key, tell=True)
         if pending is None or moved:
             since = pending.since if pending else now
-            pending = self._pending[key] = Pending(part, -1e9, since, zones)
+            pending = Pending(part, -1e9, since, zones)
+            self._pending.put(key, pending)
+        pending.look_at = now + c.ASK_LOOK_S
         if now - pending.asked_at >= c.ASK_REPEAT_S:
             pending.asked_at = now
             avoid = sorted(self._avoid.get(job.id, ()))[:50]
             ask = ask_for(spec, key[1], self._membership.epoch, guaranteed, zones, avoid)
             self._siblings.send(part, ASK, pack_ask(ask))
 
-    def _zones_for(
-        self, job: Job, key: TaskId, parts: dict[str, list[Total]], now: float
-    ) -> list[str]:
+    def _zones_for(self, job: Job, key: TaskId, parts: Parts, now: float) -> list[str]:
         spec = job.spec
         assert spec is not None
+        if not spec.one_zone and not spec.spread:
+            return rules.zones_allowed(spec, Counter(), self._zones)
         used = self._used_zones(job, key)
         allowed = rules.zones_allowed(spec, used, self._zones)
         if spec.one_zone and spec.tasks > 1 and not used and len(allowed) > 1:
@@ -294,87 +303,27 @@
         return allowed
 
     def _used_zones(self, job: Job, key: TaskId | None) -> Counter[str]:
-        zone_of = self._zone_of()
         machines = [task.machine for _, task in job.bindings()]
         machines += [
             p.machine
-            for k, p in self._pending.items()
-            if k[0] == job.id and k != key and p.machine and not job.task(k[1]).machine
+            for index, p in self._pending.of(job.id).items()
+            if (job.id, index) != key and p.machine and index not in job.on_machines
         ]
-        return rules.zones_used(machines, zone_of)
-
-    def _zone_of(self) -> dict[str, str]:
-        return {m: record.record.zone for m, record in self._replica.machines.items()}
+        return rules.zones_used(machines, self._replica.zone_of)
 
     def _gather_in(
-        self,
-        job: str,
-        spec: r.JobSpec,
-        allowed: list[str],
-        parts: dict[str, list[Total]],
-        now: float,
+        self, job: str, spec: r.JobSpec, allowed: list[str], parts: Parts, now: float
     ) -> str:
         """The zone in which a gang gathers: most room first, then each in its turn."""
         zone, since = self._gang_zone.get(job, ("", 0.0))
         if zone in allowed and now - since < c.ZONE_TRY_S:
             return zone
-        room: Counter[str] = Counter()
-        for totals in parts.values():
-            for total in totals:
-                if _suits(spec, total):
-                    room[total.zone] += int(total.gpus * 100 + total.cpus)
+        room = parts.room(spec)
         others = [z for z in allowed if z != zone] or allowed
         best = max(others, key=lambda z: (room[z], z))
         self._gang_zone[job] = (best, now)
         return best
 
-    def _part(
-        self,
-        spec: r.JobSpec,
-        key: TaskId,
-        zones: list[str],
-        parts: dict[str, list[Total]],
-        pending: Pending | None,
-        now: float,
-    ) -> str:
-        """The part to wait at: by published credit; without any, in turn."""
-
-        def score(part: str) -> tuple[bool, bool, float]:
-            fitting = [t for t in parts[part] if t.zone in zones and _suits(spec, t)]
-            largest = any(
-                t.largest_cpus >= spec.cpus and t.largest_gpus >= spec.gpus for t in fitting
-            )
-            ready = any(
-                t.largest_cpus >= spec.cpus
-                and t.largest_gpus >= spec.gpus
-                and spec.image in t.images
-                for t in fitting
-            )
-            return largest, ready, sum(t.gpus + t.cpus / 100 for t in fitting)
-
-        if not parts or not zones:
-            return ""
-        if (
-            pending is not None
-            and pending.part in parts
-            and now - pending.asked_at < c.ASK_TTL_S
-            and (score(pending.part)[0] or now - pending.since < c.ASK_REPEAT_S)
-        ):
-            return pending.part
-        best = max(parts, key=lambda p: (*score(p), p))
-        if score(best)[0]:
-            return best
-        # Nobody has room: wait in one queue at a time, where there are machines to empty.
-        owners = [
-            p
-            for p in sorted(parts)
-            if any(t.zone in zones and (spec.spot or not t.spot) for t in parts[p])
-        ]
-        if not owners:
-            return ""
-        since = pending.since if pending else now
-        return owners[(key[1] + int((now - since) / c.RESERVE_S)) % len(owners)]
-
     # --- holds and bindings -------------------------------------------------------------------
     def _on_hold(self, part: str, payload: bytes) -> None:
         hold = unpack_hold(payload)
@@ -411,11 +360,9 @@
             self._bind(job, keys)
 
     def _bind(self, job: Job, keys: list[TaskId]) -> None:
-        machines = {}
-        until = min(self._pending[key].until for key in keys)
-        for key in keys:
-            self._pending[key].writing = True
-            machines[key[1]] = self._pending[key].machine
+        pending = self._pending.of(job.id)
+        until = min(pending[index].until for _, index in keys)
+        machines = {key[1]: self._pending.write(key) for key in keys}
 
         def mutate(draft: Draft) -> None:
             if self._clock.now() < until:
@@ -459,13 +406,12 @@
 
     def _zones_allow(self, draft: Draft, machines: dict[int, str]) -> bool:
         spec = draft.spec
-        zone_of = self._zone_of()
         there = [
             draft.task(i).machine
             for i in range(spec.tasks if spec.spread or spec.one_zone else 0)
             if draft.task(i).machine
         ]
-        used = rules.zones_used(there, zone_of)
+        used = rules.zones_used(there, self._replica.zone_of)
         for machine in machines.values():
             record = self._replica.machines.get(machine)
             if record is None or (record.record.spot and not spec.spot):
@@ -491,7 +437,3 @@
                     self._metrics.start_wait.observe(wait)
                 log.info("bound %s/%d attempt %d to %s", *key, task.attempt, task.machine)
         self._wake.set()
-
-
-def _suits(spec: r.JobSpec, total: Total) -> bool:
-    return (spec.spot or not total.spot) and (spec.types is None or total.type in spec.types)
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -61,13 +61,17 @@
             chunk = self.chunks.get(k)
             if chunk is not None and not chunk.waiting:
                 continue
-            last = min((k + 1) * c.CHUNK_TASKS, self.spec.tasks)
-            for index in range(k * c.CHUNK_TASKS, last):
-                task = self.task(index)
-                if not task.machine and not task.done:
-                    found.append(index)
-                    if len(found) >= most:
-                        return found
+            first = k * c.CHUNK_TASKS
+            if chunk is None:
+                found += range(first, min(first + c.CHUNK_TASKS, self.spec.tasks))
+            else:
+                found += [
+                    first + offset
+                    for offset, task in enumerate(chunk.tasks)
+                    if not task.machine and not task.done
+                ]
+            if len(found) >= most:
+                return found[:most]
         return found
 
 
@@ -85,7 +89,9 @@
     record: r.RentalRecord
 
 
-Listener = Callable[[str, str], None]  # (kind, id): view, member, job, machine, rental, catalog
+# (kind, id): view, member, job, machine, rental, catalog; `bound` names a machine whose
+# bindings changed, so that nobody has to look at all machines or at all tasks of a job.
+Listener = Callable[[str, str], None]
 
 
 class Replica:
@@ -110,6 +116,10 @@
         self.catalog = r.Catalog()
         self.types: dict[str, r.MachineType] = {}
         self.bound: dict[str, dict[TaskId, r.Task]] = {}
+        self.zone_of: dict[str, str] = {}  # machine -> zone
+        self.open_changes = 0  # moves whenever a job opens or ends
+        self._used: dict[str, tuple[float, float]] = {}  # team -> cpus, gpus of all bound
+        self._rebound: set[str] = set()  # machines whose bindings changed since last told
         self._versions: dict[str, int] = {}
         self._deleted: dict[str, int] = {}
 
@@ -175,6 +185,7 @@
             return "job", job
         if kind == "m":
             self.machines[rest] = Machine(rest, version, r.MACHINE.decode(value))
+            self.zone_of[rest] = self.machines[rest].record.zone
             return "machine", rest
         if kind == "r":
             self.rentals[rest] = Rental(rest, version, r.RENTAL.decode(value))
@@ -204,6 +215,7 @@
             return "job", job
         if kind == "m":
             self.machines.pop(rest, None)
+            self.zone_of.pop(rest, None)
             return "machine", rest
         if kind == "r":
             self.rentals.pop(rest, None)
@@ -215,17 +227,32 @@
 
     def _set_job(self, job_id: str, record: r.JobRecord, version: int) -> None:
         job = self.jobs.setdefault(job_id, Job(job_id))
-        job.version = version
-        job.record = record
         if record.spec is None:
             for index in list(job.chunks):
                 self._drop_chunk(job_id, index)
             self.open_jobs.discard(job_id)
         else:
             self.open_jobs.add(job_id)
+        self._account(job, -job.bound)
+        job.version = version
+        job.record = record
+        self._account(job, job.bound)  # chunks may be read before their job's description
+        self.open_changes += 1
+
+    def _account(self, job: Job, tasks: int) -> None:
+        spec = job.spec
+        if spec is not None and tasks:
+            cpus, gpus = self._used.get(spec.team, (0.0, 0.0))
+            self._used[spec.team] = (cpus + tasks * spec.cpus, gpus + tasks * spec.gpus)
 
     def _set_chunk(self, job_id: str, index: int, tasks: list[r.Task], version: int) -> None:
         job = self.jobs.setdefault(job_id, Job(job_id))
+        old = job.chunks.get(index)
+        before = old.tasks if old is not None else []
+        for place, task in enumerate(tasks):
+            was = before[place] if before else None
+            if was != task:
+                self._rebound.update(t.machine for t in (was, task) if t and t.machine)
         self._unindex(job, index)
         waiting = sum(not task.machine and not task.done for task in tasks)
         job.chunks[index] = Chunk(version, tasks, waiting)
@@ -237,10 +264,12 @@
                 place = index * c.CHUNK_TASKS + offset
                 job.on_machines[place] = task
                 self.bound.setdefault(task.machine, {})[(job_id, place)] = task
+                self._account(job, 1)
 
     def _drop_chunk(self, job_id: str, index: int) -> None:
         job = self.jobs.get(job_id)
-        if job is not None:
+        if job is not None and index in job.chunks:
+            self._rebound.update(t.machine for t in job.chunks[index].tasks if t.machine)
             self._unindex(job, index)
             job.chunks.pop(index, None)
 
@@ -253,6 +282,7 @@
             if task.machine:
                 place = index * c.CHUNK_TASKS + offset
                 del job.on_machines[place]
+                self._account(job, -1)
                 on_machine = self.bound[task.machine]
                 del on_machine[(job.id, place)]
                 if not on_machine:
@@ -279,18 +309,17 @@
         self._waiting = still
 
     def _notify(self, touched: list[tuple[str, str]]) -> None:
+        rebound, self._rebound = self._rebound, set()
+        touched = list(dict.fromkeys(touched))
+        touched += [("bound", machine) for machine in rebound]
         for kind, name in touched:
             for listener in self._listeners:
                 listener(kind, name)
 
     # --- sums ---------------------------------------------------------------------------
     def usage(self) -> dict[str, tuple[float, float]]:
-        """(cpus, gpus) per team of everything bound, that is, not proved gone."""
-        used: dict[str, tuple[float, float]] = {}
-        for on_machine in self.bound.values():
-            for job_id, _ in on_machine:
-                spec = self.jobs[job_id].spec
-                if spec is not None:
-                    cpus, gpus = used.get(spec.team, (0.0, 0.0))
-                    used[spec.team] = (cpus + spec.cpus, gpus + spec.gpus)
-        return used
+        """(cpus, gpus) per team of everything bound, that is, not proved gone.
+
+        Kept up to date where bindings change: counting anew grew with all tasks, at each use.
+        """
+        return self._used
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -99,7 +99,7 @@
             raise Unavailable("freshness not proved in time") from error
 
     async def _read_revision(self) -> int:
-        await asyncio.sleep(0.002)  # gather the polls of one moment
+        await asyncio.sleep(c.FRESH_GATHER_S)  # gather the polls of one moment
         self._barrier = None  # from here on a new caller needs a new read
         return await self.client.revision()
 
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -38,7 +38,7 @@
 log = logging.getLogger("pulleydeal.workers")
 
 
-def _nothing() -> None:
+def _nothing(_machine: str) -> None:
     """Before anybody listens."""
 
 
@@ -64,6 +64,7 @@
         self._exits: set[Start] = set()
         self._writing: set[str] = set()
         self._orders = asyncio.Semaphore(c.ORDERS_IN_FLIGHT)
+        self._probes = asyncio.Semaphore(c.PROBES_IN_FLIGHT)
         self._background: set[asyncio.Task[None]] = set()
         self._dirty: set[str] = set()
         self._wake = asyncio.Event()
@@ -71,20 +72,26 @@
         self._blind_limit_s = max(
             2.0, (times.cancel_s - times.lease_s) * (1 - c.CLOCK_DRIFT) - c.RENEW_MARGIN_S
         )
-        self.changed: Callable[[], None] = _nothing  # called when credits may have changed
+        # Machines whose last report names a task of the job: found without asking each one.
+        self._reported: dict[str, set[str]] = {}
+        self._looked_at = -1e9  # when all machines were last looked at
+        # Called with a machine whose credit may have changed.
+        self.changed: Callable[[str], None] = _nothing
         store.replica.listen(self._on_change)
 
     def _on_change(self, kind: str, name: str) -> None:
         if kind == "job":
             job = self._replica.jobs.get(name)
-            if job is not None:
-                for _, task in job.bindings():
-                    self._dirty.add(task.machine)
-            for machine, station in self.stations.items():
-                if any(task_id[0] == name for task_id in station.entries):
-                    self._dirty.add(machine)
-        elif kind == "machine":
+            # A gang's members hang together, and a job's end concerns all its tasks; of any
+            # other change the machines concerned are told one by one ("bound").
+            if job is not None and (not job.is_open or (job.spec and job.spec.kind == "gang")):
+                self._dirty.update(task.machine for _, task in job.bindings())
+                self._dirty.update(self._reported.get(name, ()))
+        elif kind in ("machine", "bound"):
             self._dirty.add(name)
+            record = self._replica.machines.get(name)
+            if kind == "machine" and (record is None or record.record.state == "gone"):
+                self._drop(name)
         elif kind == "view":
             self._own()
         self._wake.set()
@@ -99,9 +106,10 @@
             if skipped:
                 # Machines may have been another's in a view that was never looked at here.
                 self.stations.clear()
+                self._reported.clear()
             for machine, station in list(self.stations.items()):
                 if not self._membership.owns(machine, station.zone):
-                    del self.stations[machine]
+                    self._drop(machine)
             for machine, record in self._replica.machines.items():
                 rec = record.record
                 if rec.state == "gone" or machine in self.stations:
@@ -111,6 +119,20 @@
                     station.addr = rec.addr
         self._dirty.update(self.stations)
 
+    def _drop(self, machine: str) -> None:
+        """Gives a machine up: another's now, or given back.
+
+        Those given back must not stay: they look silent, and asking them in vain held up the
+        orders to all others.
+        """
+        station = self.stations.pop(machine, None)
+        if station is not None:
+            self._index(machine, station.entries, {})
+            client = self._clients.pop(station.addr, None)
+            if client is not None:
+                client.close()
+            self.changed(machine)
+
     def _station(
         self, machine: str, type_: str, zone: str, spot: bool, token: int, now: float
     ) -> Station:
@@ -183,17 +205,37 @@
         return blind_s < self._blind_limit_s or self._membership.vouched()
 
     def _take(self, station: Station, report: m.Report, checkin: bool) -> None:
+        now = self._clock.now()
         with self._lock:
             before = station.entries
-            was = {k for k, e in before.items() if e.state == "exited"}
-            fresh = absorb(station, report, self._clock.now(), checkin)
-        if fresh:
+            stood = (station.trusted, station.notice_at is None, self.silent(station))
+            fresh = absorb(station, report, now, checkin)
+            if fresh:
+                self._index(station.id, before, station.entries)
+        if not fresh:
+            return
+        if before != station.entries:
             self._log_progress(station, before)
-        exited = {k for k, e in station.entries.items() if e.state == "exited"}
-        if fresh and (exited != was or not checkin):
+        was = {k for k, e in before.items() if e.state == "exited"}
+        if not checkin or was != {k for k, e in station.entries.items() if e.state == "exited"}:
             self._dirty.add(station.id)
             self._wake.set()
-        self.changed()
+        # Most reports say nothing new: a credit renewed for each would cost a core.
+        stands = (station.trusted, station.notice_at is None, self.silent(station))
+        if before != station.entries or stood != stands:
+            self.changed(station.id)
+
+    def _index(
+        self, machine: str, before: dict[TaskId, Entry], entries: dict[TaskId, Entry]
+    ) -> None:
+        old, new = {job for job, _ in before}, {job for job, _ in entries}
+        for job in old - new:
+            machines = self._reported.get(job, set())
+            machines.discard(machine)
+            if not machines:
+                self._reported.pop(job, None)
+        for job in new - old:
+            self._reported.setdefault(job, set()).add(machine)
 
     def _log_progress(self, station: Station, before: dict[TaskId, Entry]) -> None:
         for task_id, entry in station.entries.items():
@@ -307,17 +349,21 @@
     async def work(self) -> None:
         """One round: whatever changed is reconciled, and said at once where that helps."""
         try:
-            async with asyncio.timeout(1.0):
+            async with asyncio.timeout(c.LOOK_ROUND_S):
                 await self._wake.wait()
         except TimeoutError:
-            self._dirty.update(self.stations)
+            pass
         self._wake.clear()
+        now = self._clock.now()
+        if now - self._looked_at >= c.LOOK_ROUND_S:
+            # Leases run out and kills are repeated though nothing changes.
+            self._looked_at = now
+            self._dirty.update(self.stations)
         dirty, self._dirty = self._dirty, set()
         for machine in dirty:
             station = self.stations.get(machine)
             if station is not None and not station.busy:
                 self._look(station)
-        self.changed()
 
     def _look(self, station: Station) -> None:
         if not self._membership.is_member:
@@ -348,9 +394,13 @@
         client = self._clients.get(station.addr)
         if client is None:
             client = self._clients[station.addr] = Client(station.addr, self._clock)
+        # Machines that don't answer are mostly probed: they must not hold up others' orders.
+        gate, patience = self._orders, c.ORDERS_TIMEOUT_S
+        if not calls:
+            gate, patience = self._probes, c.PROBE_TIMEOUT_S
         try:
-            async with self._orders:
-                status, reply = await client.request("POST", "/orders", body, c.ORDERS_TIMEOUT_S)
+            async with gate:
+                status, reply = await client.request("POST", "/orders", body, patience)
         except NoAnswer as error:
             log.debug("order to %s: %s", station.id, error)
             self._unsettle(station, runs, executed=error.sent)
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -6,7 +6,9 @@
   crash NODE [FOR_S]  | crash all [FOR_S]         | state down|up | state refuse NODE|none
   cloud down|up       | cut ZONE ZONE | cut BLOCK | heal | lose SHARE
   die BLOCK | sick BLOCK | notice BLOCK SECONDS
-  expect JOB STATE    | expect machines COUNT | expect starts COUNT
+  capacity COUNT                                 machines to be had of each kind in each zone
+  crowd JOB COUNT KIND TASKS RUN_S [name=value ...]   COUNT users submit at once, from JOB on
+  expect JOB STATE [COUNT] | expect machines COUNT | expect starts COUNT
 """
 
 import asyncio
@@ -208,6 +210,14 @@
         self.rules.uploads[job] = body
         on_host(self._users, self._ask("POST", job, "/submissions", body))
 
+    def do_crowd(self, first: str, count: str, *words: str) -> None:
+        for job in _row(first, count):
+            self.do_submit(job, *words)
+
+    def do_capacity(self, count: str) -> None:
+        for place in self.cloud.capacity:
+            self.cloud.capacity[place] = int(count)
+
     def do_resubmit(self, job: str) -> None:
         body = self.rules.uploads[job]
         on_host(self._users, self._ask("POST", job, "/submissions", body))
@@ -254,13 +264,14 @@
         self._workers[block].reclaim_at = self._loop.time() + float(seconds)
         self._loop.call_later(float(seconds), self.cloud.remove, block)
 
-    def do_expect(self, what: str, value: str) -> None:
+    def do_expect(self, what: str, value: str, count: str = "1") -> None:
         if what == "machines":
             self._expect(f"{len(self.cloud.blocks)} machines", f"{value} machines")
         elif what == "starts":
             self._expect(f"{self.rules.starts} starts", f"{value} starts")
         else:
-            on_host(self._users, self._expect_state(what, value))
+            for job in _row(what, count):
+                on_host(self._users, self._expect_state(job, value))
 
     async def _expect_state(self, job: str, wanted: str) -> None:
         told = await self._ask("GET", job, f"/submissions/{job}")
@@ -271,6 +282,12 @@
             self.failures.append(f"{self._loop.time():.1f}: {found}, not: {wanted}")
 
 
+def _row(first: str, count: str) -> list[str]:
+    """Jobs with ids in a row, from `first` on."""
+    start = int(first.rpartition("-")[2])
+    return [f"j-{start + i}" for i in range(int(count))]
+
+
 def play(path: Path, seed: int) -> Scenario:
     """Plays a scenario file; the rules and expectations it broke are left in the result."""
     network = Network(seed)
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -20,9 +20,12 @@
     Waiting,
     choose_victims,
     order,
+    probe,
 )
 from pulleydeal.membership.messages import Beat, Total, pack_beat, unpack_beat
 
+OVER = {"guest"}  # uses more than its guarantee
+
 
 def ask(gpus: float = 1.0, priority: int = 1, **more: object) -> Ask:
     values: dict[str, object] = {
@@ -46,90 +49,98 @@
     return Credit(name, "t4", "east", False, Room(9.0, gpus, 9.0), **more)  # type: ignore[arg-type]
 
 
-def queue(*credits: Credit) -> CreditQueue:
-    q = CreditQueue()
-    q.refresh({x.machine: x for x in credits})
-    return q
+def victim(job: str, priority: int, gpus: float = 1.0, loss: float = 1.0) -> Victim:
+    return Victim(job, 0, 1, Need(1.0, gpus, 1.0), priority, loss, "guest")
 
 
-def victim(
-    job: str, priority: int, gpus: float = 1.0, over: bool = False, loss: float = 1.0
-) -> Victim:
-    return Victim(job, 0, 1, Need(1.0, gpus, 1.0), priority, loss, over, "guest")
+def test_the_first_fitting_credit_is_taken_and_a_changed_one_keeps_its_place() -> None:
+    q = CreditQueue()
+    for x in (credit("a", 0.0), credit("b", 2.0), credit("c", 2.0)):
+        assert q.put(x)
+    found = probe(q.credits.values(), ask(), ready=False)
+    assert found is not None and found.machine == "b"
+    assert not q.put(credit("c", 2.0))  # a report that says nothing new
+    assert q.put(credit("b", 1.0)) and q.put(credit("d", 4.0))
+    q.remove("a")
+    assert list(q.credits) == ["b", "c", "d"]
 
 
-def test_the_first_fitting_credit_is_taken_and_keeps_its_place() -> None:
-    q = queue(credit("a", 0.0), credit("b", 2.0), credit("c", 2.0))
-    found = q.probe(ask(), ready=False)
+def test_a_few_from_the_head_are_looked_at_first() -> None:
+    q = CreditQueue()
+    for name in "abcd":
+        q.put(credit(name, 1.0, images=frozenset({"img"} if name in "bd" else ())))
+    found = q.head(ask())
     assert found is not None and found.machine == "b"
-    found.room.take(ask().need)
-    q.refresh({x.machine: x for x in (credit("c", 2.0), credit("b", 1.0), credit("d", 4.0))})
-    assert [x.machine for x in q] == ["b", "c", "d"]
+    q.remove("b")
+    found = q.head(ask())
+    assert found is not None and found.machine == "d"
+    q.put(credit("d", 0.0, images=frozenset({"img"})))
+    assert q.head(ask()) is None
 
 
 def test_a_fitting_credit_behind_the_first_few_is_still_found() -> None:
-    q = queue(*(credit(f"m{i}", 1.0) for i in range(7)), credit("big", 4.0))
-    found = q.probe(ask(gpus=4.0), ready=False)
+    q = [*(credit(f"m{i}", 1.0) for i in range(7)), credit("big", 4.0)]
+    found = probe(q, ask(gpus=4.0), ready=False)
     assert found is not None and found.machine == "big"
 
 
 def test_a_machine_with_the_image_is_found_first() -> None:
-    q = queue(credit("a", 1.0), credit("b", 1.0, images=frozenset({"img"})))
-    found = q.probe(ask(), ready=True)
+    q = [credit("a", 1.0), credit("b", 1.0, images=frozenset({"img"}))]
+    found = probe(q, ask(), ready=True)
     assert found is not None and found.machine == "b"
-    assert queue(credit("a", 1.0)).probe(ask(), ready=True) is None
+    assert probe([credit("a", 1.0)], ask(), ready=True) is None
 
 
 def test_an_image_on_its_way_is_not_there_and_busy_machines_come_last() -> None:
     busy = credit("busy", 1.0, fetching=frozenset({"a", "b"}))
     idle = credit("idle", 1.0)
     coming = credit("coming", 1.0, fetching=frozenset({"img"}))
-    found = queue(busy, idle).probe(ask(), ready=False)
+    found = probe([busy, idle], ask(), ready=False)
     assert found is not None and found.machine == "idle"
-    found = queue(busy, idle, coming).probe(ask(), ready=False)
+    found = probe([busy, idle, coming], ask(), ready=False)
     assert found is not None and found.machine == "coming"
-    assert queue(coming).probe(ask(), ready=True) is None
+    assert probe([coming], ask(), ready=True) is None
 
 
 def test_what_a_job_may_not_use_is_no_credit_for_it() -> None:
     spot = credit("s", 4.0)
     spot.spot = True
-    assert queue(spot).probe(ask(spot=False), ready=False) is None
-    assert queue(credit("a", 4.0)).probe(ask(zones=["west"]), ready=False) is None
-    assert queue(credit("a", 4.0)).probe(ask(avoid=["a"]), ready=False) is None
-    assert queue(credit("a", 4.0, reserved=("j-9", 0))).probe(ask(), ready=False) is None
-    assert queue(credit("a", 4.0, reserved=("j-1", 4))).probe(ask(), ready=False) is not None
+    assert probe([spot], ask(spot=False), ready=False) is None
+    assert probe([credit("a", 4.0)], ask(zones=["west"]), ready=False) is None
+    assert probe([credit("a", 4.0)], ask(avoid=["a"]), ready=False) is None
+    assert probe([credit("a", 4.0, reserved=("j-9", 0))], ask(), ready=False) is None
+    assert probe([credit("a", 4.0, reserved=("j-1", 4))], ask(), ready=False) is not None
 
 
 def test_no_credit_of_the_same_or_higher_priority_is_made_by_stopping() -> None:
     full = credit("a", 0.0, victims=[victim("j-2", 1), victim("j-3", 2)])
-    assert choose_victims(queue(full), ask(priority=1), ready=False, below=4) is None
-    chosen = choose_victims(queue(full), ask(priority=2), ready=False, below=4)
+    assert choose_victims([full], ask(priority=1), OVER, ready=False, below=4) is None
+    chosen = choose_victims([full], ask(priority=2), OVER, ready=False, below=4)
     assert chosen is not None and [v.job for v in chosen[1]] == ["j-2"]
 
 
 def test_borrowed_room_goes_back_to_whom_it_is_guaranteed() -> None:
-    full = credit("a", 0.0, victims=[victim("j-2", 3, over=True)])
-    assert choose_victims(queue(full), ask(priority=0), ready=False, below=4) is None
+    full = credit("a", 0.0, victims=[victim("j-2", 3)])
+    assert choose_victims([full], ask(priority=0), OVER, ready=False, below=4) is None
     owed = ask(priority=0, guaranteed=True)
-    chosen = choose_victims(queue(full), owed, ready=False, below=4)
+    chosen = choose_victims([full], owed, OVER, ready=False, below=4)
     assert chosen is not None
     own = ask(priority=0, guaranteed=True, team="guest")
-    assert choose_victims(queue(full), own, ready=False, below=4) is None
+    assert choose_victims([full], own, OVER, ready=False, below=4) is None
 
 
 def test_the_cheapest_room_is_made() -> None:
     dear = credit("dear", 0.0, victims=[victim("j-2", 0, loss=50.0)])
     cheap = credit("cheap", 0.0, victims=[victim("j-3", 0, loss=5.0)])
-    chosen = choose_victims(queue(dear, cheap), ask(priority=2), ready=False, below=4)
+    chosen = choose_victims([dear, cheap], ask(priority=2), OVER, ready=False, below=4)
     assert chosen is not None and chosen[0].machine == "cheap"
 
 
 def test_waiting_asks_are_served_by_priority_then_guarantee_then_age() -> None:
     asks = [
-        Waiting(ask(priority=1), "old", 1.0, 9.0),
-        Waiting(ask(priority=1, guaranteed=True), "owed", 2.0, 9.0),
-        Waiting(ask(priority=3), "prod", 3.0, 9.0),
+        Waiting(ask(priority=1), "old", 1.0, 9.0, 0.0),
+        Waiting(ask(priority=1, guaranteed=True), "owed", 2.0, 9.0, 0.0),
+        Waiting(ask(priority=3), "prod", 3.0, 9.0, 0.0),
     ]
     assert [w.leader for w in sorted(asks, key=order)] == ["prod", "owed", "old"]
 
