--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -32,6 +32,8 @@
 CONDITIONS_PER_OP = 4  # PROTOCOL: four conditions per allowed change
 SCRATCH_TRIES = 6  # attempts of one change against moving marks before it is given up
 WRITE_SHARE = 0.9  # part of the write rate we use: bursts of others are not known to us
+LEND_KEEP = 0.25  # part of its share that a quiet node keeps: it can start at once
+LEND_GROWTH = 1.25  # what a node may write more than it last said before others notice
 
 # --- Membership ---------------------------------------------------------------------------
 MEMBER_TTL_MS = 3_000  # a member unheard by the state service this long is voted out
--- a/pulleydeal/membership/messages.py
+++ b/pulleydeal/membership/messages.py
@@ -28,6 +28,7 @@
     totals: list[Total] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)  # over, with tasks not proved gone
     hears: list[str] = field(default_factory=list)  # siblings that the sender hears now
+    writes: float = 0.0  # changes a second that it lately sent to the state service
 
 
 def pack_beat(beat: Beat) -> bytes:
@@ -36,7 +37,7 @@
         packer.text(t.type).text(t.zone).u8(t.spot)
         packer.f64(t.cpus).f64(t.gpus).f64(t.memory).f64(t.largest_cpus).f64(t.largest_gpus)
         packer.texts(t.images)
-    return packer.texts(beat.cancelled).texts(beat.hears).bytes()
+    return packer.texts(beat.cancelled).texts(beat.hears).f64(beat.writes).bytes()
 
 
 def unpack_beat(data: bytes) -> Beat:
@@ -47,4 +48,4 @@
         kind = (u.text(), u.text(), bool(u.u8()))
         amounts = (u.f64(), u.f64(), u.f64(), u.f64(), u.f64())
         totals.append(Total(*kind, *amounts, u.texts()))
-    return Beat(epoch, totals, u.texts(), u.texts())
+    return Beat(epoch, totals, u.texts(), u.texts(), u.f64())
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -31,6 +31,8 @@
         self._lease: int | None = None
         self._renewed_at = -1e9
         self._beats: dict[str, tuple[float, Beat]] = {}
+        self._written = 0  # changes sent by the last heartbeat
+        self._writes = 0.0  # and lately, a second
         self.totals: Callable[[], list[Total]] = list
         siblings.on(BEAT, self._on_beat)
 
@@ -165,7 +167,17 @@
             log.info("epoch %d: cut pairs now %s", self.epoch, self.view.cut)
 
     async def beat(self) -> None:
+        written = self._store.client.written
+        self._writes = 0.5 * self._writes + 0.5 * (written - self._written) / c.BEAT_S
+        self._written = written
         self.send_beat()
+        now = self._clock.now()
+        others: list[float | None] = []
+        for sibling in self._settings.siblings:
+            at, beat = self._beats.get(sibling.node_name, (-1e9, None))
+            heard = beat is not None and now - at < c.HEARD_NOW_S
+            others.append(beat.writes if beat is not None and heard else None)
+        self._store.client.share_writes(others)
         await asyncio.sleep(c.BEAT_S)
 
     def send_beat(self) -> None:
@@ -177,7 +189,10 @@
         totals = self.totals() if self.is_member else []
         hears = [name for name, s in self._siblings.heard_s().items() if s < c.HEARD_NOW_S]
         self._siblings.broadcast(
-            BEAT, pack_beat(Beat(self.epoch, totals, cancelled[: c.RELAYED_CANCELS], hears))
+            BEAT,
+            pack_beat(
+                Beat(self.epoch, totals, cancelled[: c.RELAYED_CANCELS], hears, self._writes)
+            ),
         )
 
     def _on_beat(self, sender: str, payload: bytes) -> None:
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -35,6 +35,9 @@
         self._have = per_s
         self._at = clock.now()
 
+    def set(self, per_s: float) -> None:
+        self._per_s = per_s
+
     def take(self, amount: float, urgent: bool) -> float:
         """Takes `amount` and returns 0, or takes nothing and returns how long to wait."""
         now = self._clock.now()
@@ -53,8 +56,11 @@
     ) -> None:
         self._http = Client(address, clock)
         self._requests = Rate(rps / nodes, clock)
-        self._writes = Rate(write_rps * c.WRITE_SHARE / nodes, clock)
+        self._write_rps = write_rps * c.WRITE_SHARE
+        self._nodes = nodes
+        self._writes = Rate(self._write_rps / nodes, clock)
         self.requests = 0
+        self.written = 0
         self.refusals = 0
 
     async def _call(
@@ -79,6 +85,19 @@
             raise Unavailable(f"{method} {path}: {status}")
         return status, reply
 
+    def share_writes(self, others: list[float | None]) -> None:
+        """Takes up what the other nodes leave of the write rate.
+
+        `others`: what each one says it writes a second; None: it was not heard, so its whole
+        share is its own. A fleet that grows or a crowd of ends is mostly one node's work, and a
+        fixed third of the rate was what it waited for.
+        """
+        mine = self._write_rps / self._nodes
+        left = self._write_rps
+        for used in others:
+            left -= mine if used is None else max(c.LEND_KEEP * mine, used * c.LEND_GROWTH)
+        self._writes.set(max(mine, left))
+
     async def revision(self) -> int:
         _, reply = await self._call("GET", f"/store/{NOTHING}")
         return m.REVISION.decode(reply).revision
@@ -107,6 +126,7 @@
     ) -> tuple[bool, m.Revision]:
         while (pause := self._writes.take(len(changes), urgent)) > 0:
             await asyncio.sleep(pause)
+        self.written += len(changes)
         body = m.transaction(conditions, changes)
         status, reply = await self._call("POST", "/commit", body, urgent=urgent)
         if status in (200, 409):
--- a/standins/owner.py
+++ b/standins/owner.py
@@ -9,6 +9,7 @@
 from pulleydeal.credits.service import Credits, ask_for
 from pulleydeal.membership.messages import ASK, HOLD
 from pulleydeal.metrics import Metrics
+from pulleydeal.settings import Team
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Replica
@@ -17,8 +18,8 @@
 ZONES = ["east", "west"]
 
 
-def spec(job: str, priority: int = 1, image: str = "img") -> r.JobSpec:
-    return r.JobSpec(job, "c", "core", "array", priority, 1, 1.0, 1.0, 1.0, image, 50.0)
+def spec(job: str, priority: int = 1, image: str = "img", team: str = "core") -> r.JobSpec:
+    return r.JobSpec(job, "c", team, "array", priority, 1, 1.0, 1.0, 1.0, image, 50.0)
 
 
 class _Membership:
@@ -61,7 +62,7 @@
 
 
 class Owner:
-    def __init__(self, machines: dict[str, str], gpus: float) -> None:
+    def __init__(self, machines: dict[str, str], gpus: float, guarantee: float = 0.0) -> None:
         self._now = 100.0
         self._version = 0
         self.replica = Replica()
@@ -81,7 +82,8 @@
         membership: Any = _Membership()
         siblings: Any = self._siblings
         workers: Any = self._workers
-        self._credits = Credits(membership, siblings, self.replica, workers, {}, self, Metrics())
+        teams = {name: Team(name, gpus=guarantee) for name in ("core", "other")}
+        self._credits = Credits(membership, siblings, self.replica, workers, teams, self, Metrics())
 
     def now(self) -> float:
         return self._now
@@ -109,9 +111,9 @@
     def unbind(self, machine: str, job: str) -> None:
         self._put(r.chunk_key(job, 0), [r.Task("", 1)])
 
-    def ask(self, job: r.JobSpec, zones: list[str] | None = None) -> None:
+    def ask(self, job: r.JobSpec, zones: list[str] | None = None, guaranteed: bool = False) -> None:
         self._put(r.job_key(job.id), r.JobRecord("open", 1, 0.0, job))
-        ask = ask_for(job, 0, _Membership.epoch, False, zones or ZONES, [])
+        ask = ask_for(job, 0, _Membership.epoch, guaranteed, zones or ZONES, [])
         self._run(self._handle(ASK, pack_ask(ask)))
 
     async def _handle(self, kind: int, payload: bytes) -> None:
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -52,3 +52,30 @@
     owner.round()
     assert owner.held == {}
     assert isinstance(owner.replica.machines["vm-1"].record, r.MachineRecord)
+
+
+def test_an_ask_that_found_nothing_finds_the_credit_that_changes_later() -> None:
+    owner = Owner(machines={"vm-1": "east", "vm-2": "west"}, gpus=1.0)
+    owner.bind("vm-1", spec("j-a"))
+    owner.bind("vm-2", spec("j-b"))
+    owner.ask(spec("j-c"))
+    owner.ask(spec("j-d"))
+    owner.round()
+    assert owner.held == {}
+    owner.unbind("vm-2", "j-b")
+    owner.round()
+    assert owner.held == {"j-c/0": "vm-2"}  # whoever waits longest; the other finds nothing
+
+
+def test_a_team_over_its_guarantee_gives_room_though_no_credit_changed() -> None:
+    owner = Owner(machines={"vm-1": "east"}, gpus=1.0, guarantee=1.0)
+    owner.bind("vm-1", spec("j-own"))
+    owner.ask(spec("j-owed", team="other"), guaranteed=True)
+    owner.pass_time(c.PREEMPT_AFTER_S + 0.1)
+    owner.round()
+    assert owner.stopped == []
+    owner.bind("vm-9", spec("j-more"))  # elsewhere: the team now uses more than it is owed
+    owner.pass_time(c.LOOK_AGAIN_S + 0.1)
+    owner.ask(spec("j-owed", team="other"), guaranteed=True)
+    owner.round()
+    assert owner.stopped == ["j-own/0"]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,10 +1,13 @@
 """The replica's bookkeeping, and jobs of every size from first binding to one slim record."""
 
+import random
+
 import msgspec
 
 from pulleydeal import constants as c
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
+from pulleydeal.store.client import StateClient
 from pulleydeal.store.draft import Draft
 from pulleydeal.store.replica import Job, Replica
 from pulleydeal.workers.service import apply_exit, apply_stop
@@ -136,6 +139,59 @@
     assert store.job.chunks == {} and store.replica.bound == {}
 
 
+def counted_anew(replica: Replica) -> dict[str, tuple[float, float]]:
+    used: dict[str, tuple[float, float]] = {}
+    for on_machine in replica.bound.values():
+        for job, _ in on_machine:
+            spec = replica.jobs[job].spec
+            assert spec is not None
+            cpus, gpus = used.get(spec.team, (0.0, 0.0))
+            used[spec.team] = (cpus + spec.cpus, gpus + spec.gpus)
+    return used
+
+
+def test_the_kept_usage_is_what_a_new_count_gives() -> None:
+    rng = random.Random(5)
+    store = Store(90)
+    for _ in range(200):
+        index = rng.randrange(90)
+        task = store.job.task(index)
+        if task.machine:
+            outcome = rng.choice(["done", "lost", "error"])
+            store.change(ended(index, outcome, task.attempt))
+        elif not task.done:
+            store.change(bind(index, "vm-000001"))
+        used = {t: u for t, u in store.replica.usage().items() if u != (0.0, 0.0)}
+        assert used == counted_anew(store.replica)
+    assert store.job.bound > 0
+
+
+def test_chunks_that_are_read_before_their_job_count_once_it_is_known() -> None:
+    spec = r.JobSpec("j-1", "c", "core", "array", 1, 2, 2.0, 1.0, 1.0, "img", 1.0)
+    chunk, job = r.chunk_key("j-1", 0), r.job_key("j-1")
+    tasks = [r.Task("vm-1", 1), r.Task("vm-2", 1)]
+    values = {chunk: tasks, job: r.JobRecord("open", 2, 0.0, spec)}
+    items = [m.Entry(k, msgspec.Raw(msgspec.json.encode(v)), 1) for k, v in values.items()]
+    replica = Replica()
+    told: list[tuple[str, str]] = []
+    replica.listen(lambda kind, name: told.append((kind, name)))
+    replica.load(items)
+    replica.end_load(1)
+    assert replica.usage() == {"core": (4.0, 2.0)}
+    assert {name for kind, name in told if kind == "bound"} == {"vm-1", "vm-2"}
+
+
+def test_only_machines_whose_bindings_changed_are_told() -> None:
+    store = Store(3)
+    for index in range(3):
+        store.change(bind(index, f"vm-{index}"))
+    told: list[tuple[str, str]] = []
+    store.replica.listen(lambda kind, name: told.append((kind, name)))
+    proof = Exit("j-1", 1, 1, "vm-1", "done", "")
+    store.change(lambda draft: apply_exit(draft, proof))
+    assert told == [("job", "j-1"), ("bound", "vm-1")]
+
+
 def test_an_own_delete_is_not_undone_by_the_watch_catching_up() -> None:
     replica = Replica()
     replica.loaded = True
@@ -156,3 +212,27 @@
         value = r.MachineRecord(state, "t4", "east", False)  # type: ignore[arg-type]
         replica.committed({"p/m/vm-1": msgspec.json.encode(value)}, [], version)
     assert replica.machines["vm-1"].record.state == "drain"
+
+
+def test_a_quiet_nodes_write_rate_is_lent_and_an_unheard_ones_is_not() -> None:
+    now = [0.0]
+
+    class Clock:
+        def now(self) -> float:
+            return now[0]
+
+        def wall(self) -> float:
+            return now[0]
+
+    def written(others: list[float | None]) -> int:
+        client = StateClient("127.0.0.1:1", Clock(), 200.0, 90.0 / c.WRITE_SHARE, 3)
+        client._writes.take(1e9, True)  # the burst is spent
+        client.share_writes(others)
+        now[0] += 1e9
+        client._writes.take(30.0, False)
+        now[0] += 1.0
+        return sum(client._writes.take(1.0, False) == 0 for _ in range(200))
+
+    assert written([None, None]) == 30
+    assert written([0.0, 0.0]) == int(90 - 2 * 30 * c.LEND_KEEP)
+    assert written([30.0, 30.0]) == 30  # all are busy: each has its share
--- /dev/null
+++ b/tests/test_workers.py
@@ -0,0 +1,100 @@
+"""The worker slice of one owner alone: which machines it keeps, and which it looks at."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+
+from pulleydeal.http import Request
+from pulleydeal.metrics import Metrics
+from pulleydeal.settings import WorkerTimes
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Replica
+from pulleydeal.workers.service import Workers
+
+
+class Alone:
+    """Membership, store and clock in one: always a member, owner of everything."""
+
+    epoch = 3
+    is_member = True
+    me = "winch-0"
+    known_at = 0.0
+
+    def __init__(self) -> None:
+        self.replica = Replica()
+        self.replica.loaded = True
+        self._version = 0
+
+    def now(self) -> float:
+        return 1.0
+
+    wall = now
+
+    def owner(self, machine: str, zone: str) -> str:
+        return self.me
+
+    def owns(self, machine: str, zone: str) -> bool:
+        return True
+
+    def relayed_cancels(self) -> set[str]:
+        return set()
+
+    def put(self, key: str, value: object) -> None:
+        self._version += 1
+        event = m.Event(self._version, key, None, msgspec.Raw(msgspec.json.encode(value)))
+        self.replica.apply(m.Changes(self._version, [event]))
+
+
+def workers(world: Any) -> Workers:
+    times = WorkerTimes(report_s=3.0, lease_s=14.0, gang_wait_s=50.0, gang_peer_s=8.0, cancel_s=34)
+    return Workers(world, world, times, world, Metrics())
+
+
+def report(machine: str, tally: int, *lifts: str) -> Request:
+    body = {
+        "block": machine,
+        "addr": "10.1.0.1:9000",
+        "rig_model": "t4",
+        "yard": "east",
+        "loaners": False,
+        "shift": 1,
+        "tally": tally,
+        "whistle": 3 << 24,
+        "lifts": [{"lift": lift, "pull": 1, "tension": "running"} for lift in lifts],
+    }
+    return Request("POST", "/checkin", msgspec.json.encode(body))
+
+
+def machine(state: r.MachineState) -> r.MachineRecord:
+    return r.MachineRecord(state, "t4", "east", False, "10.1.0.1:9000")
+
+
+def test_a_machine_that_was_given_back_is_not_asked_after_any_more() -> None:
+    world = Alone()
+    slice_ = workers(world)
+    touched: list[str] = []
+    slice_.changed = touched.append
+    world.put(r.machine_key("vm-1"), machine("up"))
+    asyncio.run(slice_.checkin(report("vm-1", 1)))
+    assert list(slice_.stations) == ["vm-1"]
+    world.put(r.machine_key("vm-1"), machine("drain"))
+    assert list(slice_.stations) == ["vm-1"]  # it must still be emptied
+    touched.clear()
+    world.put(r.machine_key("vm-1"), machine("gone"))
+    assert slice_.stations == {} and touched == ["vm-1"]
+
+
+def test_only_a_report_that_says_something_new_renews_the_credit() -> None:
+    world = Alone()
+    slice_ = workers(world)
+    touched: list[str] = []
+    slice_.changed = touched.append
+    world.put(r.machine_key("vm-1"), machine("up"))
+    answers = []
+    for tally, lifts in ((1, []), (2, []), (3, ["j-1/0"]), (4, ["j-1/0"])):
+        touched.clear()
+        asyncio.run(slice_.checkin(report("vm-1", tally, *lifts)))
+        answers.append(bool(touched))
+    assert answers == [True, False, True, False]
