Lets work that may use spot machines leave the ordinary ones, and publishes images truly

Also, a part published the images of machines without a free GPU as if a task could start there.

Change: among credits that suit alike a task that may use spot takes spot; work below high priority takes it even if it must fetch the image; a job's leader prefers parts the same way; the plan fills spot first. Images are published only of machines with a free GPU, where the type has any.

--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -125,12 +125,18 @@
             (
                 credit
                 for credit in islice(self.credits.values(), c.PROBES)
-                if ask.image in credit.images and _takes(credit, ask)
+                if ask.image in credit.images and preferred(credit, ask) and _takes(credit, ask)
             ),
             None,
         )
 
 
+def preferred(credit: Credit, ask: Ask) -> bool:
+    """Work that may use spot machines leaves the ordinary ones to work that may not: they cost
+    several times as much, and only empty ones can be given back."""
+    return credit.spot == ask.spot
+
+
 def _takes(credit: Credit, ask: Ask) -> bool:
     return credit.room.fits(ask.need) and allowed(credit, ask)
 
@@ -138,16 +144,26 @@
 def probe(credits: Iterable[Credit], ask: Ask, ready: bool) -> Credit | None:
     """The first credit that fits, or of those without the image the one least busy fetching.
 
-    Two exceptions to the design, as our credits are unequal and the talk's are not. When
-    none of the first few fits, the others are looked at too, or a fitting credit further back
-    would never be found. And credits whose machines have the image (`ready`) are looked at
-    before all others, and machines busy fetching last: a fetch takes longer than most starts
-    may. The room is compared first, since most credits of a busy fleet have none left.
+    Exceptions to the design, as our credits are unequal and the talk's are not. When none of the
+    first few fits, the others are looked at too, or a fitting credit further back would never
+    be found. Credits whose machines have the image (`ready`) are looked at before all others,
+    and machines busy fetching last: a fetch takes longer than most starts may. A task takes
+    the kind of machine it should where there is one. The room is compared first, since most
+    credits of a busy fleet have none left.
     """
-    if ready:
-        return next((x for x in credits if ask.image in x.images and _takes(x, ask)), None)
-    fitting = [credit for credit in credits if _takes(credit, ask)]
-    return min(fitting, key=lambda credit: fetch_rank(credit, ask), default=None)
+    fitting = [
+        credit
+        for credit in credits
+        if (not ready or ask.image in credit.images) and _takes(credit, ask)
+    ]
+
+    def rank(credit: Credit) -> tuple[bool, int]:
+        return not preferred(credit, ask), fetch_rank(credit, ask)
+
+    best = min(fitting, key=rank, default=None)
+    if ready and best is not None and ask.priority < c.ROOM_BELOW and not preferred(best, ask):
+        return None  # it can wait for a fetch, and will find the dear room if there is no other
+    return best
 
 
 def preemptible(victim: Victim, ask: Ask, over: set[str]) -> bool:
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -383,6 +383,10 @@
         log.info("machine %s: %d tasks stop for %s/%d", credit.machine, len(victims), *key)
         return [(victim, why) for victim in victims]
 
+    def _has_gpus(self, credit: Credit) -> bool:
+        type_ = self._replica.types.get(credit.type)
+        return type_ is not None and type_.gpus > 0
+
     def _publish(self) -> None:
         self._unpublished = False
         totals: dict[tuple[str, str, bool], Total] = {}
@@ -397,7 +401,7 @@
             total.memory += max(0.0, credit.room.memory)
             total.largest_cpus = max(total.largest_cpus, credit.room.cpus)
             total.largest_gpus = max(total.largest_gpus, credit.room.gpus)
-            if credit.room.cpus > 0:
+            if credit.room.cpus > 0 and (credit.room.gpus > 0 or not self._has_gpus(credit)):
                 images.setdefault(kind, set()).update(credit.images)
         for kind, names in images.items():
             totals[kind].images = sorted(names)[: c.PUBLISHED_IMAGES]
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -78,8 +78,9 @@
             if spec is not None:
                 room.take(Need(spec.cpus, spec.gpus, spec.memory))
         found.append(Space((rec.type, rec.zone, rec.spot), room, machine.id))
-    # Fullest first, so that what is free at the end is whole machines.
-    found.sort(key=lambda s: (s.room.gpus, s.room.cpus))
+    # Spot first, as tasks that may use it are placed there; fullest first, so that what is free
+    # at the end is whole machines.
+    found.sort(key=lambda s: (not s.kind[2], s.room.gpus, s.room.cpus))
     return found
 
 
--- a/pulleydeal/placement/parts.py
+++ b/pulleydeal/placement/parts.py
@@ -7,7 +7,9 @@
 from pulleydeal.placement.pending import Pending
 from pulleydeal.store import records as r
 
-Score = tuple[bool, bool, float]  # has a fitting machine, one with the image, free room
+# Has a fitting machine; one of the kind and with the image that count more for the task, and
+# less; free room.
+Score = tuple[bool, bool, bool, float]
 
 
 def suits(spec: r.JobSpec, total: Total) -> bool:
@@ -37,7 +39,9 @@
             t for t in fitting if t.largest_cpus >= spec.cpus and t.largest_gpus >= spec.gpus
         ]
         ready = any(spec.image in t.images for t in largest)
-        return bool(largest), ready, sum(t.gpus + t.cpus / 100 for t in fitting)
+        cheap = any(t.spot == spec.spot for t in largest)
+        first, second = (ready, cheap) if spec.priority >= c.ROOM_BELOW else (cheap, ready)
+        return bool(largest), first, second, sum(t.gpus + t.cpus / 100 for t in fitting)
 
     def scores(self, spec: r.JobSpec, zones: list[str]) -> dict[str, Score]:
         key = (spec.id, tuple(zones))
