Orders waiting work by what can still be in time, arrays then by the work left

Ruled out: rentals (every zone and kind refused for the whole time) and images (most starts had theirs).

Change: an ask carries its job's turn: how many of its aims can no longer be met (objectives in the settings), then, for arrays, the task seconds that still wait, then when the job came. Services stay in the order of their coming.

--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -50,7 +50,14 @@
             self.metrics,
         )
         self.placement = Placement(
-            self.membership, self.siblings, self.store, teams, zones, clock, self.metrics
+            self.membership,
+            self.siblings,
+            self.store,
+            teams,
+            zones,
+            deployment.objectives,
+            clock,
+            self.metrics,
         )
         cloud = Cloud(settings.endpoints.cloud, clock, deployment.cloud.rps)
         self.fleet = Fleet(
--- a/pulleydeal/credits/messages.py
+++ b/pulleydeal/credits/messages.py
@@ -22,6 +22,9 @@
     need: Need
     priority: int
     guaranteed: bool  # falls within its team's guarantee
+    missed: int  # aims of its job that can no longer be met; smaller goes first
+    work: float  # task seconds of its job that still wait; smaller goes first
+    at: float  # when its job was accepted, by the time of day
     gang: bool
     spot: bool
     team: str
@@ -54,7 +57,7 @@
 def pack_ask(a: Ask) -> bytes:
     p = Packer().u64(a.epoch).text(a.job).u32(a.index)
     p.f64(a.need.cpus).f64(a.need.gpus).f64(a.need.memory)
-    p.u8(a.priority).u8(a.guaranteed).u8(a.gang).u8(a.spot)
+    p.u8(a.priority).u8(a.guaranteed).u8(a.missed).f64(a.work).f64(a.at).u8(a.gang).u8(a.spot)
     return p.text(a.team).text(a.image).texts(a.types).texts(a.zones).texts(a.avoid).bytes()
 
 
@@ -67,6 +70,9 @@
         Need(u.f64(), u.f64(), u.f64()),
         u.u8(),
         bool(u.u8()),
+        u.u8(),
+        u.f64(),
+        u.f64(),
         bool(u.u8()),
         bool(u.u8()),
         u.text(),
--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -89,9 +89,11 @@
     return 0 if ask.image in credit.fetching else 1 + len(credit.fetching)
 
 
-def order(waiting: Waiting) -> tuple[int, int, float]:
-    """Owed work first within its priority, then whoever waits longest."""
-    return (-waiting.ask.priority, -int(waiting.ask.guaranteed), waiting.since)
+def order(waiting: Waiting) -> tuple[int, int, int, float, float, float]:
+    """Owed work first within its priority, then what can be in time, then what came first."""
+    ask = waiting.ask
+    turn = (ask.missed, ask.work, ask.at)
+    return (-ask.priority, -int(ask.guaranteed), *turn, waiting.since)
 
 
 def shape(ask: Ask) -> tuple[object, ...]:
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -137,7 +137,7 @@
             since, look_at = now, now
             if old is not None:
                 since = old.since
-                look_at = old.look_at if old.ask == ask else now
+                look_at = old.look_at if shape(old.ask) == shape(ask) else now
             self._asks[key] = Waiting(ask, leader, since, now + c.ASK_TTL_S, look_at)
         if look_at == now:
             self._wake.set()
@@ -420,7 +420,13 @@
 
 
 def ask_for(
-    spec: r.JobSpec, index: int, epoch: int, guaranteed: bool, zones: list[str], avoid: list[str]
+    spec: r.JobSpec,
+    index: int,
+    epoch: int,
+    guaranteed: bool,
+    turn: tuple[int, float, float],
+    zones: list[str],
+    avoid: list[str],
 ) -> Ask:
     return Ask(
         epoch,
@@ -429,6 +435,7 @@
         need_of(spec),
         spec.priority,
         guaranteed,
+        *turn,
         spec.kind == "gang",
         spec.spot,
         spec.team,
--- a/pulleydeal/placement/rules.py
+++ b/pulleydeal/placement/rules.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from pulleydeal import constants as c
-from pulleydeal.settings import Team
+from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Job
 
@@ -65,5 +65,32 @@
     return inside
 
 
+def turn(job: Job, objectives: list[Objective], wall: float) -> tuple[int, float]:
+    """A job's turn among those of its priority: smaller goes first.
+
+    First, how many of its aims can no longer be met: where not all can be served in time, room
+    given to one that is late anyway makes another late too. Then, for arrays, how much work
+    still waits: the most jobs are done in time when the short ones go first. Services stay in
+    the order of their coming, as each second that a replica is missing counts.
+    """
+    spec, record = job.spec, job.record
+    if spec is None or record is None or spec.kind == "service":
+        return 0, 0.0
+    age = wall - record.at
+    missed = 0
+    for objective in objectives:
+        if objective.klass != spec.klass:
+            continue
+        if objective.kind == "wait" and objective.within_s is not None:
+            missed += age > objective.within_s
+        elif objective.kind == "finished" and objective.within_s is not None:
+            missed += age + spec.estimate_s > objective.within_s
+        elif objective.kind == "deadline" and spec.deadline_s is not None:
+            missed += age + spec.estimate_s > spec.deadline_s * (objective.times or 1.0)
+    if spec.kind == "gang":
+        return missed, 0.0
+    return missed, (spec.tasks - job.done - job.bound) * (spec.estimate_s or 1.0)
+
+
 def error_backoff_s(fails: int) -> float:
     return min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2.0 ** min(fails - 1, 10))
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -17,7 +17,7 @@
 from pulleydeal.placement import rules
 from pulleydeal.placement.parts import Parts
 from pulleydeal.placement.pending import Pending, PendingAsks, TaskId
-from pulleydeal.settings import Team
+from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
 from pulleydeal.store.replica import Job, Replica
@@ -36,6 +36,7 @@
         store: Store,
         teams: dict[str, Team],
         zones: list[str],
+        objectives: list[Objective],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -45,6 +46,7 @@
         self._replica: Replica = store.replica
         self._teams = teams
         self._zones = zones
+        self._objectives = objectives
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -54,6 +56,7 @@
         self._last: dict[TaskId, str] = {}  # where a task last ran
         self._gang_zone: dict[str, tuple[str, float]] = {}
         self._reasons: dict[str, str] = {}
+        self._turns: dict[str, tuple[int, float, float]] = {}  # of the jobs that wait
         self._clearing: set[str] = set()
         self._gone: set[str] = set()  # machines given back, perhaps with bindings left
         self._inside: set[str] = set()  # jobs within their team's guarantee
@@ -106,9 +109,14 @@
         usage = self._usage()
         parts = Parts(self._membership.parts(), now)
 
-        def rank(job: Job) -> tuple[int, bool, float, str]:
+        wall = self._clock.wall()
+        self._turns = {}
+
+        def rank(job: Job) -> tuple[object, ...]:
             assert job.record is not None and job.spec is not None
-            return (-job.spec.priority, job.id not in inside, job.record.at, job.id)
+            turn = (*rules.turn(job, self._objectives, wall), job.record.at)
+            self._turns[job.id] = turn
+            return (-job.spec.priority, job.id not in inside, *turn, job.id)
 
         waiting: Counter[str] = Counter()
         incomplete = [
@@ -288,7 +296,8 @@
         if now - pending.asked_at >= c.ASK_REPEAT_S:
             pending.asked_at = now
             avoid = sorted(self._avoid.get(job.id, ()))[:50]
-            ask = ask_for(spec, key[1], self._membership.epoch, guaranteed, zones, avoid)
+            turn = self._turns[job.id]
+            ask = ask_for(spec, key[1], self._membership.epoch, guaranteed, turn, zones, avoid)
             self._siblings.send(part, ASK, pack_ask(ask))
 
     def _zones_for(self, job: Job, key: TaskId, parts: Parts, now: float) -> list[str]:
--- a/pulleydeal/settings.py
+++ b/pulleydeal/settings.py
@@ -63,6 +63,7 @@
     kind: str
     klass: str = msgspec.field(name="class", default="")
     within_s: float | None = None
+    times: float | None = None
 
 
 class Deployment(Struct):
--- a/standins/owner.py
+++ b/standins/owner.py
@@ -113,7 +113,8 @@
 
     def ask(self, job: r.JobSpec, zones: list[str] | None = None, guaranteed: bool = False) -> None:
         self._put(r.job_key(job.id), r.JobRecord("open", 1, 0.0, job))
-        ask = ask_for(job, 0, _Membership.epoch, guaranteed, zones or ZONES, [])
+        turn = (0, 0.0, self._now)
+        ask = ask_for(job, 0, _Membership.epoch, guaranteed, turn, zones or ZONES, [])
         self._run(self._handle(ASK, pack_ask(ask)))
 
     async def _handle(self, kind: int, payload: bytes) -> None:
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -97,3 +97,23 @@
         assert each.record is not None
         each.record.at = float(at)
     assert rules.guaranteed_jobs([third, second, first], team) == {"j-1"}
+
+
+def test_a_jobs_turn_says_what_can_still_be_in_time_and_what_is_short() -> None:
+    objectives = [
+        Objective("finished", "c", 100.0),
+        Objective("finished", "c", 200.0),
+        Objective("wait", "other", 1.0),
+        Objective("guarantee", "", 1.0),
+    ]
+    array = job("j-1", 4, estimate_s=30.0)
+    assert rules.turn(array, objectives, 60.0) == (0, 120.0)
+    assert rules.turn(array, objectives, 80.0) == (1, 120.0)
+    assert rules.turn(array, objectives, 180.0) == (2, 120.0)
+    due = job("j-2", deadline_s=50.0, estimate_s=30.0)
+    assert rules.turn(due, [Objective("deadline", "c", None, 2.0)], 60.0) == (0, 30.0)
+    assert rules.turn(due, [Objective("deadline", "c", None, 1.0)], 60.0) == (1, 30.0)
+    gang = job("j-3", 2, kind="gang", estimate_s=30.0)
+    assert rules.turn(gang, [Objective("wait", "c", 20.0)], 21.0) == (1, 0.0)
+    service = job("j-4", kind="service")
+    assert rules.turn(service, [Objective("wait", "c", 20.0)], 21.0) == (0, 0.0)
