Publishes which images have room, or could be given room, and leaves a part that misleads

A task's part was chosen by images of machines with any room at all, not room for the task, and not by machines where the owner would make room for it, so two of three owners that could have started it at once were never asked.

Change: totals carry, for each image, the most room free on a machine that has it and the most that stopping lower priorities would make; high priorities go by both. A part that seems to have room but gave none for 5 s is left for another.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -87,6 +87,7 @@
 
 # --- Placement ----------------------------------------------------------------------------
 PLACE_TICK_S = 0.25  # the placement loop's longest sleep; changes wake it at once
+ASK_STAY_S = 5.0  # after so long in vain at one part a task asks another that seems to have room
 ASK_LOOK_S = 0.25  # how often a waiting ask's part is thought over: its cost grows with asks
 TIDY_S = 1.0  # how often what is remembered of jobs that are over is dropped
 MAX_ASKS_PER_JOB = 64  # tasks of one job that queue at owners at once
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -27,7 +27,7 @@
     probe,
     shape,
 )
-from pulleydeal.membership.messages import ASK, FREE, HOLD, Total
+from pulleydeal.membership.messages import ASK, FREE, HOLD, Images, Total
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
@@ -383,28 +383,25 @@
         log.info("machine %s: %d tasks stop for %s/%d", credit.machine, len(victims), *key)
         return [(victim, why) for victim in victims]
 
-    def _has_gpus(self, credit: Credit) -> bool:
-        type_ = self._replica.types.get(credit.type)
-        return type_ is not None and type_.gpus > 0
-
     def _publish(self) -> None:
         self._unpublished = False
         totals: dict[tuple[str, str, bool], Total] = {}
-        images: dict[tuple[str, str, bool], set[str]] = {}
         for credit in self._queue.credits.values():
             kind = (credit.type, credit.zone, credit.spot)
             total = totals.setdefault(kind, Total(*kind))
             if credit.reserved is not None:
                 continue
-            total.cpus += max(0.0, credit.room.cpus)
-            total.gpus += max(0.0, credit.room.gpus)
+            cpus, gpus = max(0.0, credit.room.cpus), max(0.0, credit.room.gpus)
+            total.cpus += cpus
+            total.gpus += gpus
             total.memory += max(0.0, credit.room.memory)
-            total.largest_cpus = max(total.largest_cpus, credit.room.cpus)
-            total.largest_gpus = max(total.largest_gpus, credit.room.gpus)
-            if credit.room.cpus > 0 and (credit.room.gpus > 0 or not self._has_gpus(credit)):
-                images.setdefault(kind, set()).update(credit.images)
-        for kind, names in images.items():
-            totals[kind].images = sorted(names)[: c.PUBLISHED_IMAGES]
+            total.largest_cpus = max(total.largest_cpus, cpus)
+            total.largest_gpus = max(total.largest_gpus, gpus)
+            _note_most(total.images, credit.images, cpus, gpus)
+            lower = [victim.need for victim in credit.victims if victim.priority < c.ROOM_BELOW]
+            cpus += sum(need.cpus for need in lower)
+            gpus += sum(need.gpus for need in lower)
+            _note_most(total.stoppable, credit.images, cpus, gpus)
         old, self._published = self._published, list(totals.values())
         if old != self._published:
             self._membership.send_beat()  # the signal: credit changed
@@ -412,6 +409,14 @@
         self._metrics.asks.set(len(self._asks))
 
 
+def _note_most(most: Images, images: frozenset[str], cpus: float, gpus: float) -> None:
+    for image in images:
+        old = most.get(image, (0.0, 0.0))
+        more = old[0] < cpus or old[1] < gpus
+        if more and (image in most or len(most) < c.PUBLISHED_IMAGES):
+            most[image] = (max(old[0], cpus), max(old[1], gpus))
+
+
 def _victim(index: int, task: r.Task, spec: r.JobSpec) -> Victim:
     loss = spec.checkpoint_s or spec.estimate_s or 60.0
     if spec.kind == "gang":
--- a/pulleydeal/membership/messages.py
+++ b/pulleydeal/membership/messages.py
@@ -7,6 +7,9 @@
 HELLO, BEAT, ASK, HOLD, FREE = range(1, 6)  # every message type spoken on `back`
 
 
+Images = dict[str, tuple[float, float]]
+
+
 @dataclass(slots=True)
 class Total:
     """Published credit of one kind of machine at one owner."""
@@ -19,7 +22,10 @@
     memory: float = 0.0
     largest_cpus: float = 0.0
     largest_gpus: float = 0.0
-    images: list[str] = field(default_factory=list)  # on machines with room
+    # Image -> most cpus and gpus free on a machine that has it, and most that could be made
+    # free for high priorities by stopping lower ones.
+    images: Images = field(default_factory=dict)
+    stoppable: Images = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -31,12 +37,23 @@
     writes: float = 0.0  # changes a second that it lately sent to the state service
 
 
+def _pack_images(packer: Packer, images: Images) -> None:
+    packer.u16(len(images))
+    for image, (cpus, gpus) in images.items():
+        packer.text(image).f64(cpus).f64(gpus)
+
+
+def _unpack_images(u: Unpacker) -> Images:
+    return {u.text(): (u.f64(), u.f64()) for _ in range(u.u16())}
+
+
 def pack_beat(beat: Beat) -> bytes:
     packer = Packer().u64(beat.epoch).u16(len(beat.totals))
     for t in beat.totals:
         packer.text(t.type).text(t.zone).u8(t.spot)
         packer.f64(t.cpus).f64(t.gpus).f64(t.memory).f64(t.largest_cpus).f64(t.largest_gpus)
-        packer.texts(t.images)
+        _pack_images(packer, t.images)
+        _pack_images(packer, t.stoppable)
     return packer.texts(beat.cancelled).texts(beat.hears).f64(beat.writes).bytes()
 
 
@@ -47,5 +64,5 @@
     for _ in range(u.u16()):
         kind = (u.text(), u.text(), bool(u.u8()))
         amounts = (u.f64(), u.f64(), u.f64(), u.f64(), u.f64())
-        totals.append(Total(*kind, *amounts, u.texts()))
+        totals.append(Total(*kind, *amounts, _unpack_images(u), _unpack_images(u)))
     return Beat(epoch, totals, u.texts(), u.texts(), u.f64())
--- a/pulleydeal/placement/parts.py
+++ b/pulleydeal/placement/parts.py
@@ -3,19 +3,25 @@
 from collections import Counter
 
 from pulleydeal import constants as c
-from pulleydeal.membership.messages import Total
+from pulleydeal.membership.messages import Images, Total
 from pulleydeal.placement.pending import Pending
 from pulleydeal.store import records as r
 
 # Has a fitting machine; one of the kind and with the image that count more for the task, and
 # less; free room.
-Score = tuple[bool, bool, bool, float]
+Score = tuple[bool, int, int, float]
 
 
 def suits(spec: r.JobSpec, total: Total) -> bool:
     return (spec.spot or not total.spot) and (spec.types is None or total.type in spec.types)
 
 
+def _has(spec: r.JobSpec, images: Images) -> bool:
+    """A machine has the image and, or so it seems, room for a task."""
+    cpus, gpus = images.get(spec.image, (-1.0, -1.0))
+    return cpus >= spec.cpus and gpus >= spec.gpus
+
+
 class Parts:
     """The parts as published at one moment; what is worked out for a job is remembered."""
 
@@ -38,10 +44,14 @@
         largest = [
             t for t in fitting if t.largest_cpus >= spec.cpus and t.largest_gpus >= spec.gpus
         ]
-        ready = any(spec.image in t.images for t in largest)
+        ready = any(_has(spec, t.images) for t in largest)
         cheap = any(t.spot == spec.spot for t in largest)
-        first, second = (ready, cheap) if spec.priority >= c.ROOM_BELOW else (cheap, ready)
-        return bool(largest), first, second, sum(t.gpus + t.cpus / 100 for t in fitting)
+        room = sum(t.gpus + t.cpus / 100 for t in fitting)
+        if spec.priority < c.ROOM_BELOW:
+            return bool(largest), cheap, ready, room
+        # The owner makes room where the image is: as good as room that is there without it.
+        made = any(_has(spec, t.stoppable) for t in fitting)
+        return made or bool(largest), 2 * ready + made, cheap, room
 
     def scores(self, spec: r.JobSpec, zones: list[str]) -> dict[str, Score]:
         key = (spec.id, tuple(zones))
@@ -62,9 +72,12 @@
             and pending.part in scores
             and now - pending.asked_at < c.ASK_TTL_S
             and (scores[pending.part][0] or now - pending.since < c.ASK_REPEAT_S)
+            and now - pending.came_at < c.ASK_STAY_S
         ):
             return pending.part
-        best = max(scores, key=lambda p: (*scores[p], p))
+        # What is published is a summary and may mislead: after a while the others have their turn.
+        left = pending.part if pending is not None else ""
+        best = max(scores, key=lambda p: (scores[p][0], p != left, *scores[p], p))
         if scores[best][0]:
             return best
         # Nobody has room: wait in one queue at a time, where there are machines to empty.
--- a/pulleydeal/placement/pending.py
+++ b/pulleydeal/placement/pending.py
@@ -14,6 +14,7 @@
     asked_at: float
     since: float
     zones: list[str]
+    came_at: float = 0.0  # when it began to wait at this part
     look_at: float = 0.0  # when its part is thought over again
     machine: str = ""  # held there
     until: float = 0.0
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -290,7 +290,7 @@
             self._drop(key, tell=True)
         if pending is None or moved:
             since = pending.since if pending else now
-            pending = Pending(part, -1e9, since, zones)
+            pending = Pending(part, -1e9, since, zones, now)
             self._pending.put(key, pending)
         pending.look_at = now + c.ASK_LOOK_S
         if now - pending.asked_at >= c.ASK_REPEAT_S:
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -24,6 +24,7 @@
 )
 from pulleydeal.membership.messages import Beat, Total, pack_beat, unpack_beat
 
+IMAGES = {"img": (2.0, 1.0), "other": (8.0, 4.0)}
 OVER = {"guest"}  # uses more than its guarantee
 
 
@@ -173,5 +174,5 @@
     assert unpack_hold(pack_hold(hold)) == hold
     free = Free(3, "j-1", 4)
     assert unpack_free(pack_free(free)) == free
-    beat = Beat(9, [Total("t4", "east", True, 1.0, 2.0, 3.0, 1.0, 2.0, ["img"])], ["j-7"])
+    beat = Beat(9, [Total("t4", "east", True, 1.0, 2.0, 3.0, 1.0, 2.0, IMAGES, IMAGES)], ["j-7"])
     assert unpack_beat(pack_beat(beat)) == beat
