--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -280,9 +280,13 @@
         for task_id, task in self._replica.bound.get(station.id, {}).items():
             job = self._replica.jobs[task_id[0]]
             if job.spec is not None:
-                over = not job.is_open or job.id in relayed
-                if job.spec.kind == "gang" and not over:
-                    over = self._broken(task_id, task)
+                over = ""
+                if job.id in relayed or (job.record and job.record.status == "cancelled"):
+                    over = "cancelled by its user"
+                elif not job.is_open:
+                    over = "its job is done"
+                elif job.spec.kind == "gang" and self._broken(task_id, task):
+                    over = "its gang lost a task"
                 wanted[task_id] = Wanted(task, job.spec, over)
         return wanted
 
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -50,7 +50,7 @@
 
     task: Task
     spec: JobSpec
-    over: bool  # the job is cancelled, or over
+    over: str = ""  # why no task of this attempt may run any more
 
 
 @dataclass(slots=True)
@@ -174,7 +174,9 @@
     if entry is not None and entry.attempt == attempt:
         if entry.state == "exited":
             outcome = _outcome(entry)
-            detail = want.task.stop or entry.why
+            # A machine only says that it was told to stop; users and operators hear why.
+            ordered = entry.why in ("stopped", "peers") and want.over
+            detail = want.task.stop or ordered or entry.why
             plan.exits.append(Exit(job, index, attempt, s.id, outcome, detail))
         elif want.over:
             _kill(s, start, 0.0, now, plan)
@@ -191,7 +193,7 @@
         why = "never came up" if start not in s.seen else "vanished: the machine lost its lease"
         plan.exits.append(Exit(job, index, attempt, s.id, "lost", want.task.stop or why))
     elif want.over or want.task.stop:
-        plan.exits.append(Exit(job, index, attempt, s.id, "stopped", want.task.stop))
+        plan.exits.append(Exit(job, index, attempt, s.id, "stopped", want.task.stop or want.over))
     else:
         plan.calls.append(m.run(*start))
         plan.runs.append(start)
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -46,12 +46,13 @@
             self.report(words)
         elif verb == "bind":
             job, index, attempt = start(words[1])
-            self.wanted[(job, index)] = Wanted(Task("vm-1", attempt), SPEC, False)
+            self.wanted[(job, index)] = Wanted(Task("vm-1", attempt), SPEC)
         elif verb == "unbind":
             del self.wanted[start(words[1])[:2]]
         elif verb == "cancel":
             for key, want in self.wanted.items():
-                want.over = want.over or key[0] == words[1]
+                if key[0] == words[1]:
+                    want.over = "cancelled"
         elif verb == "stop":
             self.wanted[start(words[1])[:2]].task.stop = "for a test"
         elif verb == "sent" and words[1] == "checkin":
@@ -106,7 +107,8 @@
             grace = f" {call['ease_s']:g}" if call["call"] == "kill" else ""
             said.append(f"-> {call['call']} {call['lift']}#{call['pull']}{grace}")
         for e in plan.exits:
-            said.append(f"-> exit {e.job}/{e.index}#{e.attempt} {e.outcome}")
+            why = f" ({e.detail})" if e.detail in ("cancelled", "for a test") else ""
+            said.append(f"-> exit {e.job}/{e.index}#{e.attempt} {e.outcome}{why}")
         return said
 
 
