--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -43,6 +43,10 @@
     reached: dict[tuple[object, ...], int] = field(default_factory=dict)
     there: Counter[str] = field(default_factory=Counter)  # machines by zone
 
+    @property
+    def spot_pays(self) -> bool:
+        return any(t.spot_price <= c.SPOT_DISCOUNT * t.price for t in self.types.values())
+
 
 def prompt_classes(objectives: list[Objective], boot_s: float) -> tuple[set[str], bool]:
     """Classes that must start sooner than a machine boots, and whether a guarantee must."""
@@ -105,15 +109,16 @@
         used = Counter[str]()
         for _ in range(min(left, spec.tasks)):
             left -= 1
-            if not _put(demand, spec, used):
+            # Spare room is for who comes next: not at the ordinary price for who may use spot.
+            if not _put(demand, spec, used, only_spot=spec.spot and demand.spot_pays):
                 break
     return Counter(space.kind for space in demand.new)
 
 
-def _put(demand: Demand, spec: r.JobSpec, used: Counter[str]) -> bool:
+def _put(demand: Demand, spec: r.JobSpec, used: Counter[str], only_spot: bool = False) -> bool:
     need = Need(spec.cpus, spec.gpus, spec.memory)
     zones = rules.zones_allowed(spec, used, demand.zones)
-    space = _fit(demand, spec, need, zones) or _add(demand, spec, need, zones)
+    space = _fit(demand, spec, need, zones, only_spot) or _add(demand, spec, need, zones, only_spot)
     if space is None:
         return False
     space.room.take(need)
@@ -121,8 +126,10 @@
     return True
 
 
-def _fit(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
-    shape = (need, spec.spot, tuple(spec.types or ()), tuple(sorted(zones)))
+def _fit(
+    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], only_spot: bool
+) -> Space | None:
+    shape = (need, spec.spot, only_spot, tuple(spec.types or ()), tuple(sorted(zones)))
     old = len(demand.spaces)
     for at in range(demand.reached.get(shape, 0), old + len(demand.new)):
         space = demand.spaces[at] if at < old else demand.new[at - old]
@@ -131,6 +138,7 @@
             space.room.fits(need)
             and zone in zones
             and (spec.spot or not spot)
+            and (spot or not only_spot)
             and (spec.types is None or type_ in spec.types)
         ):
             demand.reached[shape] = at
@@ -139,7 +147,9 @@
     return None
 
 
-def _add(demand: Demand, spec: r.JobSpec, need: Need, zones: list[str]) -> Space | None:
+def _add(
+    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], only_spot: bool
+) -> Space | None:
     options: list[tuple[float, int, Kind]] = []
     for type_ in demand.types.values():
         if spec.types is not None and type_.name not in spec.types:
@@ -149,7 +159,7 @@
         for zone in (z for z in zones if z in type_.zones):
             for spot in (False, True):
                 kind = (type_.name, zone, spot)
-                if (spot and not spec.spot) or kind in demand.refused:
+                if (spot and not spec.spot) or (only_spot and not spot) or kind in demand.refused:
                     continue
                 price = type_.spot_price if spot else type_.price
                 if spot and price > c.SPOT_DISCOUNT * type_.price:
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -117,3 +117,16 @@
     assert rules.turn(gang, [Objective("wait", "c", 20.0)], 21.0) == (1, 0.0)
     service = job("j-4", kind="service")
     assert rules.turn(service, [Objective("wait", "c", 20.0)], 21.0) == (0, 0.0)
+
+
+def test_spare_room_for_work_that_may_use_spot_is_not_kept_at_the_ordinary_price() -> None:
+    idle = plan.Space(("t4", "east", False), Room(8.0, 2.0, 64.0), "vm-1")
+    wanted = demand(spaces=[idle])
+    spare = job("j-1", 2, spot=True).spec
+    assert spare is not None
+    wanted.spare = [spare]
+    assert plan.missing(wanted) == Counter({("t4", "west", True): 1})
+    assert idle.room == Room(8.0, 2.0, 64.0)  # so it can be given back
+    refused = demand(spaces=[idle], refused={("t4", zone, True) for zone in ZONES})
+    refused.spare = [spare]
+    assert plan.missing(refused) == Counter()
