Rents no ordinary machine for work that will find room before one boots

Change: running work that may use spot is expected to end by its estimate; as many waiting tasks below high priority as are likely to find room so before a machine boots rent only spot machines.

--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Literal
 
 from pulleydeal import constants as c
 from pulleydeal.credits.messages import Need
@@ -13,6 +14,7 @@
 from pulleydeal.store.replica import Job, Replica
 
 Kind = tuple[str, str, bool]  # type, zone, spot
+Kinds = Literal["any", "spot"]
 
 
 @dataclass(slots=True)
@@ -38,6 +40,7 @@
     refused: set[Kind]
     spare: list[r.JobSpec] = field(default_factory=list)  # room kept for jobs like these
     new: list[Space] = field(default_factory=list)
+    ending: float = 0.0  # tasks that are likely to end before a machine rented now would be up
     # Rooms only shrink while a plan is made: what did not fit a task does not fit the next of
     # its shape, so each shape goes on where it last found room instead of from the start.
     reached: dict[tuple[object, ...], int] = field(default_factory=dict)
@@ -67,6 +70,15 @@
     return came[-count:] if count else []
 
 
+def ending(jobs: list[Job], within_s: float) -> float:
+    """How many running tasks that may use spot are likely to end within that time."""
+    return sum(
+        job.bound * min(1.0, within_s / job.spec.estimate_s)
+        for job in jobs
+        if job.spec is not None and job.spec.spot and job.spec.estimate_s > 0
+    )
+
+
 def spaces(replica: Replica, wall: float) -> list[Space]:
     found = []
     for machine in replica.machines.values():
@@ -103,22 +115,29 @@
             if not rules.within_limit(demand.teams[spec.team], after):
                 break
             demand.usage[spec.team] = after
-            if not _put(demand, spec, used):
-                break
+            waits = spec.spot and spec.priority < c.ROOM_BELOW and demand.ending >= 1.0
+            if not _put(demand, spec, used, rent="spot" if waits else "any"):
+                if not waits:
+                    break
+                demand.ending -= 1.0  # it will have that room before an ordinary machine boots
     for spec in demand.spare:
         used = Counter[str]()
         for _ in range(min(left, spec.tasks)):
             left -= 1
             # Spare room is for who comes next: not at the ordinary price for who may use spot.
-            if not _put(demand, spec, used, only_spot=spec.spot and demand.spot_pays):
+            keep: Kinds = "spot" if spec.spot and demand.spot_pays else "any"
+            if not _put(demand, spec, used, keep, rent=keep):
                 break
     return Counter(space.kind for space in demand.new)
 
 
-def _put(demand: Demand, spec: r.JobSpec, used: Counter[str], only_spot: bool = False) -> bool:
+def _put(
+    demand: Demand, spec: r.JobSpec, used: Counter[str], fit: Kinds = "any", rent: Kinds = "any"
+) -> bool:
+    """Finds room on the machines there are (`fit`: of which kind), else on a new one (`rent`)."""
     need = Need(spec.cpus, spec.gpus, spec.memory)
     zones = rules.zones_allowed(spec, used, demand.zones)
-    space = _fit(demand, spec, need, zones, only_spot) or _add(demand, spec, need, zones, only_spot)
+    space = _fit(demand, spec, need, zones, fit) or _add(demand, spec, need, zones, rent)
     if space is None:
         return False
     space.room.take(need)
@@ -127,9 +146,9 @@
 
 
 def _fit(
-    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], only_spot: bool
+    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], kinds: Kinds
 ) -> Space | None:
-    shape = (need, spec.spot, only_spot, tuple(spec.types or ()), tuple(sorted(zones)))
+    shape = (need, spec.spot, kinds, tuple(spec.types or ()), tuple(sorted(zones)))
     old = len(demand.spaces)
     for at in range(demand.reached.get(shape, 0), old + len(demand.new)):
         space = demand.spaces[at] if at < old else demand.new[at - old]
@@ -138,7 +157,7 @@
             space.room.fits(need)
             and zone in zones
             and (spec.spot or not spot)
-            and (spot or not only_spot)
+            and (spot or kinds == "any")
             and (spec.types is None or type_ in spec.types)
         ):
             demand.reached[shape] = at
@@ -148,7 +167,7 @@
 
 
 def _add(
-    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], only_spot: bool
+    demand: Demand, spec: r.JobSpec, need: Need, zones: list[str], kinds: Kinds
 ) -> Space | None:
     options: list[tuple[float, int, Kind]] = []
     for type_ in demand.types.values():
@@ -159,7 +178,11 @@
         for zone in (z for z in zones if z in type_.zones):
             for spot in (False, True):
                 kind = (type_.name, zone, spot)
-                if (spot and not spec.spot) or (only_spot and not spot) or kind in demand.refused:
+                if (
+                    (spot and not spec.spot)
+                    or (kinds == "spot" and not spot)
+                    or kind in demand.refused
+                ):
                     continue
                 price = type_.spot_price if spot else type_.price
                 if spot and price > c.SPOT_DISCOUNT * type_.price:
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -116,6 +116,7 @@
             if job.spec is not None and job.record is not None:
                 came = self._recent.setdefault(job.spec.klass, {})
                 came[job.id] = (job.record.at, job.spec)
+        boot_s = max((t.boot_s for t in self._replica.types.values()), default=0.0)
         return plan.Demand(
             jobs,
             plan.spaces(self._replica, self._clock.wall()),
@@ -125,13 +126,13 @@
             self._teams,
             self._zones,
             set(self._refused),
-            self._spare(),
+            self._spare(boot_s),
+            ending=plan.ending(jobs, boot_s),
         )
 
-    def _spare(self) -> list[r.JobSpec]:
+    def _spare(self, boot_s: float) -> list[r.JobSpec]:
         """Room kept free for jobs that must start sooner than a machine boots."""
         wall = self._clock.wall()
-        boot_s = max((t.boot_s for t in self._replica.types.values()), default=0.0)
         classes, guarantee = plan.prompt_classes(self._objectives, boot_s)
         found: list[r.JobSpec] = []
         for klass, came in self._recent.items():
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -130,3 +130,20 @@
     refused = demand(spaces=[idle], refused={("t4", zone, True) for zone in ZONES})
     refused.spare = [spare]
     assert plan.missing(refused) == Counter()
+
+
+def test_work_that_finds_room_before_a_machine_boots_rents_no_ordinary_one() -> None:
+    refused = {("t4", zone, True) for zone in ZONES}
+    running = job("j-1", 8, spot=True, estimate_s=60.0)
+    for index in range(4):
+        running.on_machines[index] = r.Task(f"vm-{index}", 1)
+    assert plan.ending([running], 30.0) == 2.0
+    wanted = demand(running, refused=refused)
+    wanted.ending = 2.0
+    assert sum(plan.missing(wanted).values()) == 1  # 4 wait, 2 find room, 2 fit one machine
+    urgent = demand(job("j-2", 4, spot=True, priority=2), refused=refused)
+    urgent.ending = 2.0
+    assert sum(plan.missing(urgent).values()) == 2
+    cheap = demand(job("j-3", 4, spot=True))
+    cheap.ending = 2.0
+    assert {kind[2] for kind in plan.missing(cheap)} == {True}
