Takes a node that alone is refused by the state service out of the load balancer

Change: heartbeats say whether the state service answers the sender. A node that has had nothing but refusals or silence for 1.5 s while a sibling is served says 503 to /up and to submissions, and closes the user's connection, so that the next try reaches another node. In an outage for all /up stays 200.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -41,6 +41,7 @@
 BEAT_S = 0.5  # sibling heartbeat: carries credit totals, so it bounds how stale they are
 CUT_AFTER_S = 3.5  # silence of a living sibling that counts as a cut; > one lost beat or stall
 HEAL_AFTER_S = 4.0  # a healed pair must stay heard this long: flapping links stay cut
+SHUT_OUT_S = 1.5  # refused so long (renewals come each 0.9 s) while a sibling is served: shut out
 HEARD_NOW_S = 1.5  # three beats: a sibling heard within this is heard now
 RELAYED_CANCELS = 500  # cancelled jobs named in a heartbeat: bounds its size
 WEIGHTS_KEPT = 16_384  # hashes remembered: three members times machines and open jobs
--- a/pulleydeal/membership/messages.py
+++ b/pulleydeal/membership/messages.py
@@ -35,6 +35,7 @@
     cancelled: list[str] = field(default_factory=list)  # over, with tasks not proved gone
     hears: list[str] = field(default_factory=list)  # siblings that the sender hears now
     writes: float = 0.0  # changes a second that it lately sent to the state service
+    served: bool = True  # the state service answers it
 
 
 def _pack_images(packer: Packer, images: Images) -> None:
@@ -54,7 +55,7 @@
         packer.f64(t.cpus).f64(t.gpus).f64(t.memory).f64(t.largest_cpus).f64(t.largest_gpus)
         _pack_images(packer, t.images)
         _pack_images(packer, t.stoppable)
-    return packer.texts(beat.cancelled).texts(beat.hears).f64(beat.writes).bytes()
+    return packer.texts(beat.cancelled).texts(beat.hears).f64(beat.writes).u8(beat.served).bytes()
 
 
 def unpack_beat(data: bytes) -> Beat:
@@ -65,4 +66,4 @@
         kind = (u.text(), u.text(), bool(u.u8()))
         amounts = (u.f64(), u.f64(), u.f64(), u.f64(), u.f64())
         totals.append(Total(*kind, *amounts, _unpack_images(u), _unpack_images(u)))
-    return Beat(epoch, totals, u.texts(), u.texts(), u.f64())
+    return Beat(epoch, totals, u.texts(), u.texts(), u.f64(), bool(u.u8()))
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -93,6 +93,16 @@
             if name != self.me
         )
 
+    def shut_out(self) -> bool:
+        """The state service answers a sibling, but not this node: users are better off there.
+
+        In an outage for all it is False: no node would be left for users to hear "later" from.
+        """
+        now = self._clock.now()
+        return self._store.client.failing_s() >= c.SHUT_OUT_S and any(
+            beat.served and now - at < c.HEARD_NOW_S for at, beat in self._beats.values()
+        )
+
     # --- loops ----------------------------------------------------------------------------
     async def keep(self) -> None:
         """One round of keeping the membership; run for ever."""
@@ -191,7 +201,14 @@
         self._siblings.broadcast(
             BEAT,
             pack_beat(
-                Beat(self.epoch, totals, cancelled[: c.RELAYED_CANCELS], hears, self._writes)
+                Beat(
+                    self.epoch,
+                    totals,
+                    cancelled[: c.RELAYED_CANCELS],
+                    hears,
+                    self._writes,
+                    self._store.client.failing_s() < c.SHUT_OUT_S,
+                )
             ),
         )
 
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -62,6 +62,19 @@
         self.requests = 0
         self.written = 0
         self.refusals = 0
+        self._clock = clock
+        self._failing_since: float | None = None
+
+    def failing_s(self) -> float:
+        """For how long nothing has been answered but refusals, or nothing at all."""
+        since = self._failing_since
+        return 0.0 if since is None else self._clock.now() - since
+
+    def _note(self, served: bool) -> None:
+        if served:
+            self._failing_since = None
+        elif self._failing_since is None:
+            self._failing_since = self._clock.now()
 
     async def _call(
         self,
@@ -77,9 +90,11 @@
         try:
             status, reply = await self._http.request(method, path, body, timeout)
         except NoAnswer as error:
+            self._note(served=False)
             if error.sent:
                 raise Unknown(str(error)) from error
             raise Unavailable(str(error)) from error
+        self._note(served=status < 500)
         if status in (429, 503) or status >= 500:
             self.refusals += 1
             raise Unavailable(f"{method} {path}: {status}")
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -74,7 +74,12 @@
 
     @property
     def ready(self) -> bool:
-        return self._replica.loaded and self._membership.is_member and bool(self._replica.types)
+        return (
+            self._replica.loaded
+            and self._membership.is_member
+            and bool(self._replica.types)
+            and not self._membership.shut_out()
+        )
 
     async def handle(self, request: Request) -> Response:
         path = request.path.partition("?")[0].strip("/").split("/")
@@ -100,6 +105,9 @@
         except (Unavailable, Unknown, TimeoutError) as error:
             log.debug("%s %s: %s", request.method, request.path, error)
             response = answer(503, {"error": "the state service can't be asked"}, c.RETRY_AFTER_S)
+        if response.status == 503 and self._membership.shut_out():
+            # Its next try then comes by the load balancer to a node that can answer.
+            response.headers.append(("Connection", "close"))
         if response.status >= 400:
             self._metrics.refusals.labels(str(response.status)).inc()
         return response
--- a/standins/net.py
+++ b/standins/net.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 HOST: contextvars.ContextVar["Host"] = contextvars.ContextVar("host")
+CALLER: contextvars.ContextVar["Host"] = contextvars.ContextVar("caller")  # while serving it
 
 
 class Host:
@@ -138,7 +139,9 @@
         if self.blocked(me, listener.host) or not listener.host.alive:
             await asyncio.get_running_loop().create_future()  # hangs, without an error
         mine = Pipe(self, me, factory(), contextvars.copy_context())
-        theirs = Pipe(self, listener.host, listener.factory(), listener.context.copy())
+        context = listener.context.copy()
+        context.run(CALLER.set, me)
+        theirs = Pipe(self, listener.host, listener.factory(), context)
         mine.peer, theirs.peer = theirs, mine
         theirs.call(theirs.protocol.connection_made, theirs)
         mine.protocol.connection_made(mine)
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -8,7 +8,7 @@
   die BLOCK | sick BLOCK | notice BLOCK SECONDS
   capacity COUNT                                 machines to be had of each kind in each zone
   crowd JOB COUNT KIND TASKS RUN_S [name=value ...]   COUNT users submit at once, from JOB on
-  expect JOB STATE [COUNT] | expect machines COUNT | expect starts COUNT
+  expect JOB STATE [COUNT] | expect machines COUNT | expect starts COUNT | expect NODE UP
 """
 
 import asyncio
@@ -235,7 +235,10 @@
             self._loop.call_later(float(for_s), self._start_node, node)
 
     def do_state(self, what: str, node: str = "none") -> None:
-        self.state.set_down(what == "down")
+        if what == "refuse":
+            self.state.refuse = {self._nodes[node]} if node in self._nodes else set()
+        else:
+            self.state.set_down(what == "down")
 
     def do_cloud(self, what: str) -> None:
         self.cloud.down = what == "down"
@@ -267,12 +270,20 @@
     def do_expect(self, what: str, value: str, count: str = "1") -> None:
         if what == "machines":
             self._expect(f"{len(self.cloud.blocks)} machines", f"{value} machines")
+        elif what in self._nodes:
+            on_host(self._users, self._expect_up(what, value))
         elif what == "starts":
             self._expect(f"{self.rules.starts} starts", f"{value} starts")
         else:
             for job in _row(what, count):
                 on_host(self._users, self._expect_state(job, value))
 
+    async def _expect_up(self, node: str, wanted: str) -> None:
+        client = Client(f"{self._nodes[node]}:8080", self._clock)
+        status, _ = await client.request("GET", "/up")
+        client.close()
+        self._expect(f"/up of {node} is {status}", f"/up of {node} is {wanted}")
+
     async def _expect_state(self, job: str, wanted: str) -> None:
         told = await self._ask("GET", job, f"/submissions/{job}")
         self._expect(f"{job} is {told}", f"{job} is {wanted}")
--- a/standins/state.py
+++ b/standins/state.py
@@ -7,6 +7,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from pulleydeal.http import Request, Response, Server, answer
+from standins.net import CALLER
 
 KEPT_CHANGES = 10_000
 
@@ -67,7 +68,7 @@
         self._wake()
 
     async def handle(self, request: Request) -> Response:
-        if self.down and not request.path.startswith("/watch"):
+        if self._away() and not request.path.startswith("/watch"):
             return answer(503, {"error": "outage"})
         url = urlsplit(request.path)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
@@ -86,6 +87,11 @@
         data, mark, charter = self.keys[key]
         return answer(200, {"k": key, "data": data, "mark": mark, "charter": charter})
 
+    def _away(self) -> bool:
+        """For everybody, or for the node that asks."""
+        caller = CALLER.get(None)
+        return self.down or (caller is not None and caller.ip in self.refuse)
+
     async def _commit(self, body: dict[str, Any]) -> Response:
         if self._rng.random() < self.lose:
             if self._rng.random() < 0.5:
@@ -130,7 +136,8 @@
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query.get("hold_ms", 0)) / 1000
         while True:
-            if not self.down:
+            away = self._away()
+            if not away:
                 if (
                     self._log
                     and len(self._log) >= KEPT_CHANGES
@@ -146,7 +153,7 @@
                     return answer(200, {"ledger": self.ledger, "events": events})
             changed = self._changed
             try:
-                async with asyncio.timeout(0.5 if self.down else max(0.0, until - loop.time())):
+                async with asyncio.timeout(0.5 if away else max(0.0, until - loop.time())):
                     await changed.wait()
             except TimeoutError:
                 pass
