Tells a node that starts anew which machines have which images

Cause: what images a machine holds is learned from bindings as they are made, so a restarted node knew only those of tasks that still run and sent work to fetch what was there.

Nothing but the choice among credits depends on it.

--- a/pulleydeal/credits/messages.py
+++ b/pulleydeal/credits/messages.py
@@ -99,3 +99,20 @@
 def unpack_free(data: bytes) -> Free:
     u = Unpacker(data)
     return Free(u.u64(), u.text(), u.u32())
+
+
+Cached = dict[str, dict[str, float]]  # machine -> image -> GB, oldest first
+
+
+def pack_cached(cached: Cached) -> bytes:
+    p = Packer().u32(len(cached))
+    for machine, images in cached.items():
+        p.text(machine).u16(len(images))
+        for image, size_gb in images.items():
+            p.text(image).f64(size_gb)
+    return p.bytes()
+
+
+def unpack_cached(data: bytes) -> Cached:
+    u = Unpacker(data)
+    return {u.text(): {u.text(): u.f64() for _ in range(u.u16())} for _ in range(u.u32())}
--- a/pulleydeal/membership/messages.py
+++ b/pulleydeal/membership/messages.py
@@ -4,7 +4,7 @@
 
 from pulleydeal.frames import Packer, Unpacker
 
-HELLO, BEAT, ASK, HOLD, FREE = range(1, 6)  # every message type spoken on `back`
+HELLO, BEAT, ASK, HOLD, FREE, IMAGES = range(1, 7)  # every message type spoken on `back`
 
 
 Images = dict[str, tuple[float, float]]
--- a/standins/owner.py
+++ b/standins/owner.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from pulleydeal.credits.messages import pack_ask, unpack_hold
+from pulleydeal.credits.messages import Cached, pack_ask, pack_cached, unpack_cached, unpack_hold
 from pulleydeal.credits.service import Credits, ask_for
-from pulleydeal.membership.messages import ASK, HOLD
+from pulleydeal.membership.messages import ASK, HOLD, IMAGES
 from pulleydeal.metrics import Metrics
 from pulleydeal.settings import Team
 from pulleydeal.store import messages as m
@@ -43,6 +43,9 @@
         self.handlers[kind] = handler
 
     def send(self, to: str, kind: int, payload: bytes) -> None:
+        if kind == IMAGES:
+            self._owner.told[to] = unpack_cached(payload)
+            return
         assert kind == HOLD
         hold = unpack_hold(payload)
         self._owner.held[f"{hold.job}/{hold.index}"] = hold.machine
@@ -69,6 +72,7 @@
         self.replica.loaded = True
         self.held: dict[str, str] = {}
         self.stopped: list[str] = []
+        self.told: dict[str, Cached] = {}  # member -> images it was told of
         self._siblings = _Siblings(self)
         self._workers = _Workers(self)
         type_ = r.MachineType("t4", 8.0, gpus, 8.0, 100.0, 0.5, 4.0, 1.0, 20.0, ZONES)
@@ -117,6 +121,13 @@
         ask = ask_for(job, 0, _Membership.epoch, guaranteed, turn, zones or ZONES, [])
         self._run(self._handle(ASK, pack_ask(ask)))
 
+    def join(self, member: str, incarnation: str) -> None:
+        members = self.replica.view.members | {"winch-0": "0", member: incarnation}
+        self._put(r.VIEW, r.View(3, members))
+
+    def hear_images(self, cached: Cached) -> None:
+        self._run(self._handle(IMAGES, pack_cached(cached)))
+
     async def _handle(self, kind: int, payload: bytes) -> None:
         self._siblings.handlers[kind]("winch-0", payload)
 
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -6,9 +6,11 @@
     Hold,
     Need,
     pack_ask,
+    pack_cached,
     pack_free,
     pack_hold,
     unpack_ask,
+    unpack_cached,
     unpack_free,
     unpack_hold,
 )
@@ -174,5 +176,7 @@
     assert unpack_hold(pack_hold(hold)) == hold
     free = Free(3, "j-1", 4)
     assert unpack_free(pack_free(free)) == free
+    cached = {"vm-1": {"a": 1.5, "b": 2.0}, "vm-2": {}}
+    assert unpack_cached(pack_cached(cached)) == cached
     beat = Beat(9, [Total("t4", "east", True, 1.0, 2.0, 3.0, 1.0, 2.0, IMAGES, IMAGES)], ["j-7"])
     assert unpack_beat(pack_beat(beat)) == beat
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -79,3 +79,31 @@
     owner.ask(spec("j-owed", team="other"), guaranteed=True)
     owner.round()
     assert owner.stopped == ["j-own/0"]
+
+
+def test_a_node_that_starts_anew_is_told_which_machines_have_which_images() -> None:
+    owner = Owner(machines={"vm-1": "east"}, gpus=1.0)
+    owner.join("winch-1", "first")
+    owner.bind("vm-1", spec("j-a", image="seen"))
+    owner.pass_time(c.TELL_IMAGES_S + 0.1)
+    owner.round()
+    owner.told.clear()
+    owner.join("winch-2", "first")
+    owner.round()
+    assert owner.told == {}  # its links may not be up yet
+    owner.pass_time(c.TELL_IMAGES_S + 0.1)
+    owner.round()
+    assert owner.told == {"winch-2": {"vm-1": {"seen": 50.0}}}
+
+
+def test_what_siblings_saw_counts_and_own_sight_is_newer() -> None:
+    owner = Owner(machines={"vm-1": "east", "vm-2": "east"}, gpus=2.0)
+    owner.bind("vm-1", spec("j-a", image="new"))
+    owner.hear_images({"vm-1": {"old": 40.0}, "vm-2": {"img": 1.0}, "vm-9": {"img": 1.0}})
+    owner.ask(spec("j-b", image="img"))
+    owner.round()
+    assert owner.held == {"j-b/0": "vm-2"}
+    owner.hear_images({"vm-1": {"older": 30.0, "old": 40.0}})  # the cache holds 100 GB
+    owner.ask(spec("j-c", image="old"))
+    owner.round()
+    assert owner.held["j-c/0"] == "vm-1"
