Keeps a share of connections and places for workers and health checks when users crowd in

Change: users hold at most 60% of a node's connections and have at most 128 requests worked on at once; beyond that they hear 503 with Retry-After at once. Test over real sockets, with hanging requests.

--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -80,7 +80,7 @@
             self.placement.reason,
         )
         sockets = int(deployment.machine_limits.max_sockets * c.SOCKET_SHARE_SERVER)
-        self.server = Server(self.handle, sockets)
+        self.server = Server(self.handle, sockets, crowd="/submissions")
 
     async def handle(self, request: Request) -> Response:
         path = request.path.partition("?")[0]
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -12,6 +12,8 @@
 CLIENT_IDLE_S = 15.0  # reuse a connection for at most this long unused: peers close idle ones
 READ_CHUNK_B = 65_536  # one read takes at most one largest body
 SOCKET_SHARE_SERVER = 0.75  # of max_sockets for incoming; the rest is for our own calls
+CROWD_SHARE = 0.6  # of those, for users: workers, /up and /metrics keep the rest
+CROWD_AT_ONCE = 128  # users' requests worked on at once: some seconds' worth on the small site
 RETRY_AFTER_S = 1  # what a refused user is told: PROTOCOL retries after 1 s or more
 
 # --- State service ------------------------------------------------------------------------
--- a/pulleydeal/http.py
+++ b/pulleydeal/http.py
@@ -49,12 +49,20 @@
 
 
 class Server:
-    """Serves one address; at most `limit` connections, the rest are answered 503."""
+    """Serves one address; at most `limit` connections, the rest are answered 503.
 
-    def __init__(self, handler: Handler, limit: int) -> None:
+    Requests below `crowd` are those that may come in any number: they have a share of the
+    connections and a number of places, so that all others still get through.
+    """
+
+    def __init__(self, handler: Handler, limit: int, crowd: str = "") -> None:
         self._handler = handler
         self._limit = limit
+        self._crowd = crowd
+        self._crowd_limit = int(limit * c.CROWD_SHARE)
         self._open = 0
+        self._crowd_open = 0
+        self._crowd_busy = 0
         self._server: asyncio.Server | None = None
 
     async def start(self, address: str) -> None:
@@ -67,43 +75,63 @@
 
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._open += 1
+        crowd = False
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=c.MAX_HEADER_B)
         try:
             if self._open > self._limit:
                 await _send(conn, writer, answer(503, retry_after=c.RETRY_AFTER_S), close=True)
                 return
-            while await self._cycle(conn, reader, writer):
+            while (request := await self._next(conn, reader, writer)) is not None:
+                if not crowd and self._in_crowd(request):
+                    crowd = True
+                    self._crowd_open += 1
+                    if self._crowd_open > self._crowd_limit:
+                        reply = answer(503, {"error": "too many"}, c.RETRY_AFTER_S)
+                        await _send(conn, writer, reply, close=True)
+                        return
+                await _send(conn, writer, await self._respond(request), close=False)
+                if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                    return
                 conn.start_next_cycle()
         except (OSError, TimeoutError, h11.LocalProtocolError):
             pass
         finally:
             self._open -= 1
+            self._crowd_open -= crowd
             with contextlib.suppress(OSError):
                 writer.close()
 
-    async def _cycle(
+    def _in_crowd(self, request: Request) -> bool:
+        return bool(self._crowd) and request.path.startswith(self._crowd)
+
+    async def _next(
         self, conn: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> bool:
-        """One request and its answer; False when the connection is to be closed."""
+    ) -> Request | None:
+        """The next request, or None when the connection is to be closed."""
         try:
             request = await _read_request(conn, reader)
         except h11.RemoteProtocolError as error:
             if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                 reply = answer(error.error_status_hint, {"error": str(error)})
                 await _send(conn, writer, reply, close=True)
-            return False
-        if request is None:
-            return False
-        if len(request.body) > c.MAX_BODY_B:
+            return None
+        if request is not None and len(request.body) > c.MAX_BODY_B:
             await _send(conn, writer, answer(413, {"error": "body over 64 KiB"}), close=True)
-            return False
+            return None
+        return request
+
+    async def _respond(self, request: Request) -> Response:
+        crowd = self._in_crowd(request)
+        if crowd and self._crowd_busy >= c.CROWD_AT_ONCE:
+            return answer(503, {"error": "too many at once"}, c.RETRY_AFTER_S)
+        self._crowd_busy += crowd
         try:
-            response = await self._handler(request)
+            return await self._handler(request)
         except Exception:  # a request's failure must not end the connection or the node
             log.exception("request %s %s failed", request.method, request.path)
-            response = answer(503, {"error": "internal"}, c.RETRY_AFTER_S)
-        await _send(conn, writer, response, close=False)
-        return conn.our_state is h11.DONE and conn.their_state is h11.DONE
+            return answer(503, {"error": "internal"}, c.RETRY_AFTER_S)
+        finally:
+            self._crowd_busy -= crowd
 
 
 async def _read_request(conn: h11.Connection, reader: asyncio.StreamReader) -> Request | None:
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -142,6 +142,53 @@
     assert asyncio.run(run()) == [200, 200, 200]
 
 
+def crowd(limit: int, users: int) -> tuple[list[tuple[int, bytes]], list[int]]:
+    """Users whose requests hang, then one report and one health check."""
+
+    async def run() -> tuple[list[tuple[int, bytes]], list[int]]:
+        go_on = asyncio.Event()
+
+        async def handler(request: Request) -> Response:
+            if request.path.startswith("/submissions"):
+                await go_on.wait()
+            return answer(200, {})
+
+        server = Server(handler, limit, crowd="/submissions")
+        listening = await asyncio.start_server(server._connection, "127.0.0.1", 0)
+        address = f"127.0.0.1:{listening.sockets[0].getsockname()[1]}"
+        clients = [Client(address, SystemClock()) for _ in range(users + 1)]
+        asked = [
+            asyncio.ensure_future(x.request("GET", "/submissions/j-1", None, 60.0))
+            for x in clients[:users]
+        ]
+        while sum(task.done() for task in asked) + server._crowd_busy < users:
+            await asyncio.sleep(0.001)
+        refused = [task.result() for task in asked if task.done()]
+        others = [
+            (await clients[users].request("POST", "/checkin"))[0],
+            (await clients[users].request("GET", "/up"))[0],
+        ]
+        go_on.set()
+        served = [(await task)[0] for task in asked]
+        assert served.count(200) == users - len(refused)
+        for client in clients:
+            client.close()
+        listening.close()
+        return refused, others
+
+    return asyncio.run(run())
+
+
+def test_users_in_crowds_are_refused_at_once_and_workers_keep_their_share() -> None:
+    limit = 20
+    refused, others = crowd(limit, limit - 2)
+    assert [status for status, _ in refused] == [503] * (limit - 2 - int(limit * c.CROWD_SHARE))
+    assert others == [200, 200]
+    refused, others = crowd(10 * c.CROWD_AT_ONCE, c.CROWD_AT_ONCE + 5)
+    assert [status for status, _ in refused] == [503] * 5
+    assert others == [200, 200]
+
+
 def test_settings_errors_name_the_field(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     path = tmp_path / "settings.json"
     path.write_text('{"node_name": "n", "zone": "z", "api_addr": "nowhere"}')
