--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -4,6 +4,7 @@
 import logging
 import random
 
+from pulleydeal import __version__
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.credits.service import Credits
@@ -16,6 +17,7 @@
 from pulleydeal.placement.service import Placement
 from pulleydeal.settings import Settings
 from pulleydeal.store.client import StateClient
+from pulleydeal.store.limits import tightest
 from pulleydeal.store.replica import Replica
 from pulleydeal.store.service import Store, forever
 from pulleydeal.submissions.service import Submissions
@@ -31,11 +33,9 @@
         limits = deployment.state
         self._settings = settings
         self.metrics = Metrics()
-        self.client = StateClient(
-            settings.endpoints.state, clock, limits.rps, limits.write_rps, nodes
-        )
+        self.client = StateClient(settings.endpoints.state, clock, limits, nodes)
         self.replica = Replica()
-        self.store = Store(self.client, self.replica, clock, rng, limits.txn_ops)
+        self.store = Store(self.client, self.replica, clock, rng, tightest(limits))
         self.siblings = Siblings(settings, clock)
         self.membership = Membership(settings, self.store, self.siblings, clock)
         self.workers = Workers(self.membership, self.store, deployment.workers, clock, self.metrics)
@@ -68,7 +68,7 @@
             zones,
             deployment.objectives,
             clock,
-            limits.txn_ops,
+            limits,
         )
         self.submissions = Submissions(
             self.membership,
@@ -110,7 +110,8 @@
         await self.server.start(self._settings.api_addr)
         await self.siblings.start()
         log.info(
-            "node %s in %s listens on %s",
+            "pulleydeal %s: node %s in %s listens on %s",
+            __version__,
             self._settings.node_name,
             self._settings.zone,
             self._settings.api_addr,
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -36,6 +36,7 @@
 from pulleydeal.metrics import Metrics
 from pulleydeal.settings import Team
 from pulleydeal.store import records as r
+from pulleydeal.store.reasons import made_room
 from pulleydeal.store.replica import Replica
 from pulleydeal.workers.service import Workers
 from pulleydeal.workers.station import Station
@@ -419,7 +420,7 @@
         self._reserved_for[key] = credit.machine
         credit.reserved = key
         self._unpublished = True
-        why = f"made room for {ask.job} ({r.PRIORITIES[ask.priority]} priority)"
+        why = made_room(ask.priority)
         log.info("machine %s: %d tasks stop for %s/%d", credit.machine, len(victims), *key)
         return [(victim, why) for victim in victims]
 
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -1,18 +1,24 @@
 """How many machines of which kind are missing or idle: plain functions over the replica."""
 
+import logging
 import math
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import Literal
 
+import msgspec
+
 from pulleydeal import constants as c
 from pulleydeal.credits.messages import Need
 from pulleydeal.credits.queue import Room
 from pulleydeal.placement import rules
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
-from pulleydeal.store.replica import Job, Replica
+from pulleydeal.store.job import Job
+from pulleydeal.store.limits import Limits
+from pulleydeal.store.replica import Replica
 
+log = logging.getLogger("pulleydeal.fleet")
 Kind = tuple[str, str, bool]  # type, zone, spot
 Kinds = Literal["any", "spot"]
 
@@ -51,6 +57,29 @@
         return any(t.spot_price <= c.SPOT_DISCOUNT * t.price for t in self.types.values())
 
 
+def split_catalog(catalog: r.Catalog, limits: Limits) -> list[r.Catalog]:
+    """The catalogue in pieces that fit into a value each; a type too large for one is left out."""
+    parts = [r.Catalog([])]
+    for type_ in catalog.types:
+        alone = r.Catalog([type_])
+        if not limits.fits(msgspec.json.encode(alone)):
+            log.error("machine type %.40s... has too large a description: not used", type_.name)
+            continue
+        longer = r.Catalog([*parts[-1].types, type_])
+        if limits.fits(msgspec.json.encode(longer)):
+            parts[-1] = longer
+        else:
+            parts.append(alone)
+    if len(parts) > limits.ops:
+        log.error(
+            "%d machine types need %d values: only %d used",
+            len(catalog.types),
+            len(parts),
+            limits.ops,
+        )
+    return parts[: limits.ops]
+
+
 def prompt_classes(objectives: list[Objective], boot_s: float) -> tuple[set[str], bool]:
     """Classes that must start sooner than a machine boots, and whether a guarantee must."""
     classes, guarantee = set(), False
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -11,7 +11,7 @@
 from pulleydeal.fleet import plan
 from pulleydeal.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from pulleydeal.membership.service import Membership
-from pulleydeal.settings import Objective, Team
+from pulleydeal.settings import Objective, StateLimits, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Machine
 from pulleydeal.store.service import Store
@@ -32,7 +32,7 @@
         zones: list[str],
         objectives: list[Objective],
         clock: Clock,
-        txn_ops: int,
+        limits: StateLimits,
     ) -> None:
         self._membership = membership
         self._store = store
@@ -41,7 +41,9 @@
         self._teams = teams
         self._zones = zones
         self._objectives = objectives
-        self._batch = min(txn_ops, c.RECORDS_AT_ONCE)  # machine records in one transaction
+        self._batch = min(store.limits.ops, c.RECORDS_AT_ONCE)  # machine records in a transaction
+        # As large as every version can record while the present limits hold.
+        self._most_rented = min(limits.txn_ops, c.RECORDS_AT_ONCE) - 1
         self._recent: dict[str, dict[str, tuple[float, r.JobSpec]]] = {}  # class -> job -> came
         self._clock = clock
         self._serial = 0
@@ -65,10 +67,19 @@
             # With types known only prices are missing: leave the calls to rentals and returns.
             await asyncio.sleep(c.CATALOG_RETRY_S if self._replica.types else c.LOOP_PAUSE_S)
             return
-        if catalog != self._replica.catalog:
-            await self._store.commit({r.VIEW: self._replica.view_version}, {r.CATALOG: catalog})
+        if {t.name: t for t in catalog.types} != self._replica.types:
+            await self._record_types(catalog)
         self._priced_at = self._clock.now()
 
+    async def _record_types(self, catalog: r.Catalog) -> None:
+        """As many values as it takes; an older version sees the types that fit into the first."""
+        parts = plan.split_catalog(catalog, self._store.limits)
+        puts: dict[str, object] = {r.CATALOG: parts[0]}
+        puts |= {r.types_key(k): part for k, part in enumerate(parts[1:], 1)}
+        old = {r.PREFIX + f"t/{name}" for name in self._replica.more_types}
+        drops = sorted(old - set(puts))
+        await self._store.commit({r.VIEW: self._replica.view_version}, puts, drops)
+
     # --- renting ----------------------------------------------------------------------------
     async def rent(self) -> None:
         """One round: unfinished rentals first, then what the plan misses."""
@@ -90,7 +101,7 @@
             self._serial += 1
             name = f"{self._membership.me}-{self._membership.incarnation}-{self._serial}"
             record = r.RentalRecord(
-                type_, zone, spot, min(count, self._batch - 1), self._clock.wall()
+                type_, zone, spot, min(count, self._most_rented), self._clock.wall()
             )
             # Durable before it is asked for: whoever leads next repeats it under this name.
             if await self._store.commit(
@@ -104,18 +115,18 @@
         now = self._clock.now()
         self._refused = {k: until for k, until in self._refused.items() if until > now}
         jobs = [self._replica.jobs[job] for job in self._replica.open_jobs]
-        jobs = [job for job in jobs if job.is_open and job.spec is not None]
+        jobs = [job for job in jobs if job.is_ready and job.spec is not None]
         jobs.sort(
             key=lambda j: (
                 -(j.spec.priority if j.spec else 0),
-                j.record.at if j.record else 0.0,
+                j.since,
                 j.id,
             )
         )
         for job in jobs:
-            if job.spec is not None and job.record is not None:
+            if job.spec is not None:
                 came = self._recent.setdefault(job.spec.klass, {})
-                came[job.id] = (job.record.at, job.spec)
+                came[job.id] = (job.since, job.spec)
         boot_s = max((t.boot_s for t in self._replica.types.values()), default=0.0)
         return plan.Demand(
             jobs,
@@ -170,11 +181,20 @@
             self._refused[kind] = self._clock.now() + c.REFUSED_S
         boot = r.MachineRecord("boot", *kind, at=self._clock.wall())
         new = [m for m in machines if m not in self._replica.machines]
-        conditions = {r.rental_key(name): rental.version}
-        conditions |= {r.machine_key(machine): 0 for machine in new}
-        await self._store.commit(
-            conditions, {r.machine_key(machine): boot for machine in new}, [r.rental_key(name)]
-        )
+        # The rental goes with the last of its machines: until then whoever leads repeats it, and
+        # the cloud names the same machines. An older version may have rented more than fit into
+        # one transaction of today's limits.
+        last = max(0, (len(new) - 1) // (self._batch - 1)) * (self._batch - 1)
+        for start in range(0, last + 1, self._batch - 1):
+            batch = new[start : start + self._batch - 1]
+            conditions = {r.rental_key(name): rental.version}
+            conditions |= {r.machine_key(machine): 0 for machine in batch}
+            if not await self._store.commit(
+                conditions,
+                {r.machine_key(machine): boot for machine in batch},
+                [r.rental_key(name)] if start == last else [],
+            ):
+                return  # one of them moved: the whole rental is looked at again
 
     # --- the list -------------------------------------------------------------------------
     async def listing(self) -> None:
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -5,6 +5,7 @@
 import uuid
 from collections.abc import Callable
 
+from pulleydeal import __version__
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.membership import view as decide
@@ -55,6 +56,17 @@
     def owns(self, machine: str, zone: str) -> bool:
         return self.is_member and self.owner(machine, zone) == self.me
 
+    def all_keep(self, format_: int) -> bool:
+        """Every node of the settings has durably shown that it keeps such records.
+
+        One that is merely away may come back with an older version, and one that serves may have
+        been put back to it: neither counts as having shown it.
+        """
+        nodes = [self.me, *(s.node_name for s in self._settings.siblings)]
+        return all(self._replica.software.get(node, 0) >= format_ for node in nodes) and all(
+            self._replica.formats.get(member, 0) >= format_ for member in self._replica.members
+        )
+
     def leads_job(self, spec: r.JobSpec) -> bool:
         """A limited team's jobs have one leader, which so holds the team's whole allowance."""
         team = self._settings.teams.get(spec.team)
@@ -124,7 +136,9 @@
         if view.members.get(self.me) not in (None, self.incarnation):
             log.info("replaces an earlier start of this node")
         member = r.member_key(self.me)
-        puts: dict[str, object] = {member: r.Member(self.incarnation)}
+        puts: dict[str, object] = {member: r.Member(self.incarnation, c.FORMAT)}
+        if self._replica.software.get(self.me) != c.FORMAT:
+            puts[r.software_key(self.me)] = r.Software(c.FORMAT, __version__)
         if not self.is_member:
             puts[r.VIEW] = decide.joined(view, self.me, self.incarnation)
         try:
--- a/pulleydeal/placement/rules.py
+++ b/pulleydeal/placement/rules.py
@@ -5,7 +5,7 @@
 from pulleydeal import constants as c
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
-from pulleydeal.store.replica import Job
+from pulleydeal.store.job import Job
 
 Amount = tuple[float, float]  # cpus, gpus
 TINY = 1e-6
@@ -53,7 +53,7 @@
     """Jobs that fit into their team's guarantee with the team's earlier unfinished ones."""
     used: dict[str, Amount] = {}
     inside = set()
-    for job in sorted(jobs, key=lambda j: (j.record.at if j.record else 0.0, j.id)):
+    for job in sorted(jobs, key=lambda j: (j.since, j.id)):
         spec = job.spec
         if spec is None or spec.team not in teams:
             continue
@@ -71,12 +71,14 @@
     First, how many of its aims can no longer be met: where not all can be served in time, room
     given to one that is late anyway makes another late too. Then, for arrays, how much work
     still waits: the most jobs are done in time when the short ones go first. Services stay in
-    the order of their coming, as each second that a replica is missing counts.
+    the order of their coming, as each second that a replica is missing counts. The jobs of a
+    pipeline are short and others wait for them: they go first among equals, and of them the one
+    that must start soonest for the deadlines behind it (`starts_by`).
     """
     spec, record = job.spec, job.record
     if spec is None or record is None or spec.kind == "service":
         return 0, 0.0
-    age = wall - record.at
+    age = wall - job.since
     missed = 0
     for objective in objectives:
         if objective.klass != spec.klass:
@@ -86,11 +88,19 @@
         elif objective.kind == "finished" and objective.within_s is not None:
             missed += age + spec.estimate_s > objective.within_s
         elif objective.kind == "deadline" and spec.deadline_s is not None:
-            missed += age + spec.estimate_s > spec.deadline_s * (objective.times or 1.0)
+            latest = record.at + spec.deadline_s * (objective.times or 1.0)
+            missed += wall + spec.estimate_s > latest
+    if job.chained:
+        return missed + (wall > starts_by(job)), c.CHAIN_WORK
     if spec.kind == "gang":
         return missed, 0.0
     return missed, (spec.tasks - job.done - job.bound) * (spec.estimate_s or 1.0)
 
 
+def starts_by(job: Job) -> float:
+    """Wall clock by which a job should start for its own and later deadlines; else its coming."""
+    return job.due - job.estimate_s if job.chained and job.due < float("inf") else job.since
+
+
 def error_backoff_s(fails: int) -> float:
     return min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2.0 ** min(fails - 1, 10))
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -20,7 +20,8 @@
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
-from pulleydeal.store.replica import Job, Replica
+from pulleydeal.store.job import Job
+from pulleydeal.store.replica import Replica
 from pulleydeal.store.service import Store
 from pulleydeal.workers.service import apply_exit
 from pulleydeal.workers.station import Exit
@@ -98,13 +99,13 @@
         mine = [j for j in jobs if j.spec is not None and self._membership.leads_job(j.spec)]
         self._release_gone()
         for job in mine:
-            if not job.is_open and not job.bound:
+            if not job.is_open and not job.bound and len(self._clearing) < c.SWEEPS_AT_ONCE:
                 self._sweep(job)
         self._forget(now)
         self._reasons = {}
         if self._inside_at != self._replica.open_changes:
             self._inside_at = self._replica.open_changes
-            self._inside = rules.guaranteed_jobs([j for j in jobs if j.is_open], self._teams)
+            self._inside = rules.guaranteed_jobs([j for j in jobs if j.is_ready], self._teams)
         inside = self._inside
         usage = self._usage()
         parts = Parts(self._membership.parts(), now)
@@ -113,14 +114,14 @@
         self._turns = {}
 
         def rank(job: Job) -> tuple[object, ...]:
-            assert job.record is not None and job.spec is not None
-            turn = (*rules.turn(job, self._objectives, wall), job.record.at)
+            assert job.spec is not None
+            turn = (*rules.turn(job, self._objectives, wall), rules.starts_by(job))
             self._turns[job.id] = turn
             return (-job.spec.priority, job.id not in inside, *turn, job.id)
 
         waiting: Counter[str] = Counter()
         incomplete = [
-            j for j in mine if j.is_open and j.spec is not None and j.done + j.bound < j.spec.tasks
+            j for j in mine if j.is_ready and j.spec is not None and j.done + j.bound < j.spec.tasks
         ]
         for job in sorted(incomplete, key=rank):
             self._place(job, job.id in inside, usage, parts, now)
@@ -383,6 +384,11 @@
     def _apply_binding(self, draft: Draft, machines: dict[int, str]) -> None:
         """Runs against the newest record, as often as the marks require."""
         spec = draft.spec
+        if draft.job.blockers:
+            # Only jobs that the replica shows as done are not in there, and done never changes:
+            # what it shows is proof. Looked at here, where the binding is made, as a job may be
+            # known to wait only by the time that its binding is tried again.
+            return
         team = self._teams.get(spec.team)
         if draft.status != "open" or team is None or not self._membership.leads_job(spec):
             return
@@ -398,8 +404,11 @@
         if not all(draft.require_machine(machine) for machine in set(machines.values())):
             return
         attempt = max(task.attempt for task in old) + 1
+        edits = {index: draft.edit(index) for index in machines}
+        if attempt > c.MAX_ATTEMPT or (spec.kind == "gang" and None in edits.values()):
+            return  # a gang is bound as a whole or not at all
         for index, machine in machines.items():
-            task = draft.edit(index)
+            task = edits[index]
             if task is None:
                 continue
             task.machine = machine
@@ -440,7 +449,7 @@
             with self._lock:
                 self._drop(key, tell=not shown)
             if shown and job is not None and job.record is not None:
-                wait = max(0.0, self._clock.wall() - job.record.at)
+                wait = max(0.0, self._clock.wall() - job.since)
                 self._last[key] = task.machine
                 if task.attempt == 1:
                     self._metrics.start_wait.observe(wait)
--- a/pulleydeal/settings.py
+++ b/pulleydeal/settings.py
@@ -6,9 +6,13 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from pulleydeal import constants as c
+
 Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
+ValueKb = Annotated[float, Meta(ge=c.MIN_VALUE_KB)]
+TxnOps = Annotated[int, Meta(ge=4)]
 Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
 
 
@@ -43,11 +47,20 @@
     cancel_s: Positive
 
 
+class NextLimits(Struct):
+    """What the state service will allow from some moment on; absent: as at present."""
+
+    write_rps: Positive | None = None
+    value_kb: ValueKb | None = None
+    txn_ops: TxnOps | None = None
+
+
 class StateLimits(Struct):
     rps: Positive
     write_rps: Positive
-    value_kb: Positive
-    txn_ops: Annotated[int, Meta(ge=4)]
+    value_kb: ValueKb
+    txn_ops: TxnOps
+    next: NextLimits | None = None
 
 
 class CloudLimits(Struct):
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -1,14 +1,19 @@
 """The state service, spoken to by its protocol. Knows no keys; retries nothing by itself."""
 
 import asyncio
+import logging
+from collections import deque
 from typing import Any
 
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.http import Client, NoAnswer
+from pulleydeal.settings import StateLimits
 from pulleydeal.store import messages as m
 from pulleydeal.store.records import NOTHING
 
+log = logging.getLogger("pulleydeal.store")
+
 
 class Unavailable(Exception):
     """429, 503 or another refusal: the request was not executed."""
@@ -18,6 +23,10 @@
     """No answer: the request may have been executed, or may yet be."""
 
 
+class Refused(Exception):
+    """400: the request was not executed, and never will be as it stands."""
+
+
 class LeaseLost(Exception):
     """The lease is over."""
 
@@ -51,12 +60,13 @@
 
 
 class StateClient:
-    def __init__(
-        self, address: str, clock: Clock, rps: float, write_rps: float, nodes: int
-    ) -> None:
+    def __init__(self, address: str, clock: Clock, limits: StateLimits, nodes: int) -> None:
         self._http = Client(address, clock)
-        self._requests = Rate(rps / nodes, clock)
-        self._write_rps = write_rps * c.WRITE_SHARE
+        self._requests = Rate(limits.rps / nodes, clock)
+        self._write_rps = limits.write_rps * c.WRITE_SHARE
+        announced = limits.next.write_rps if limits.next is not None else None
+        self._next_write_rps = (announced or limits.write_rps) * c.WRITE_SHARE
+        self._refused_at: deque[float] = deque(maxlen=c.REFUSED_WRITES)
         self._nodes = nodes
         self._writes = Rate(self._write_rps / nodes, clock)
         self.requests = 0
@@ -95,7 +105,11 @@
                 raise Unknown(str(error)) from error
             raise Unavailable(str(error)) from error
         self._note(served=status < 500)
-        if status in (429, 503) or status >= 500:
+        if status == 429:
+            self.refusals += 1
+            if path != "/commit":
+                raise Unavailable(f"{method} {path}: 429")
+        elif status >= 500:
             self.refusals += 1
             raise Unavailable(f"{method} {path}: {status}")
         return status, reply
@@ -144,12 +158,32 @@
         self.written += len(changes)
         body = m.transaction(conditions, changes)
         status, reply = await self._call("POST", "/commit", body, urgent=urgent)
+        if status == 429:
+            self._note_refused_write()
+            raise Unavailable("POST /commit: 429")
         if status in (200, 409):
             return status == 200, m.REVISION.decode(reply)
         if status == 400 and b"lease" in reply:
             raise LeaseLost
+        if status == 400:
+            sizes = {str(x.get("set", x.get("drop"))): len(x.get("data", b"")) for x in changes}
+            raise Refused(f"POST /commit: 400 {reply[:200]!r}, bytes by key: {sizes}")
         raise Unavailable(f"POST /commit: {status} {reply[:200]!r}")
 
+    def _note_refused_write(self) -> None:
+        """The announced lower rate comes without notice; refusals close together are the sign."""
+        now = self._clock.now()
+        self._refused_at.append(now)
+        several = len(self._refused_at) == c.REFUSED_WRITES
+        if (
+            several
+            and now - self._refused_at[0] < c.REFUSED_WRITES_S
+            and self._next_write_rps < self._write_rps
+        ):
+            log.info("writes are refused: settles at the announced lower rate")
+            self._write_rps = self._next_write_rps
+            self._writes.set(self._write_rps / self._nodes)
+
     async def grant(self, ttl_ms: int) -> int:
         status, reply = await self._call("POST", "/holds", {"ttl_ms": ttl_ms})
         if status != 200:
--- a/pulleydeal/store/draft.py
+++ b/pulleydeal/store/draft.py
@@ -4,16 +4,20 @@
 
 from pulleydeal import constants as c
 from pulleydeal.store import records as r
-from pulleydeal.store.replica import Job, Replica
+from pulleydeal.store.job import Job
+from pulleydeal.store.limits import Limits
+from pulleydeal.store.reasons import short
+from pulleydeal.store.replica import Replica
 
 
 class Draft:
-    def __init__(self, job: Job, replica: Replica, txn_ops: int) -> None:
+    def __init__(self, job: Job, replica: Replica, limits: Limits, wall: float) -> None:
         assert job.record is not None and job.record.spec is not None
         self.job = job
         self.replica = replica
         self.spec = job.record.spec
-        self.status: r.Status = job.record.status
+        # Cancelled with a job that it needs: whatever is written next makes its record say so.
+        self.status: r.Status = "cancelled" if job.is_cancelled else job.record.status
         self.conditions = {
             r.VIEW: replica.view_version,
             r.job_key(job.id): job.version,
@@ -21,9 +25,9 @@
         self.puts: dict[str, object] = {}
         self.deletes: list[str] = []
         self._chunks: dict[int, list[r.Task]] = {}
-        self._most_conditions = txn_ops * c.CONDITIONS_PER_OP
-        self._most_deletes = txn_ops - 1  # and the job's own record
-        self._most_chunks = min(self._most_deletes, c.COMMIT_B // c.CHUNK_B)
+        self._limits = limits
+        self._wall = wall
+        self._most_deletes = limits.ops - 1  # and the job's own record
 
     def task(self, index: int) -> r.Task:
         """The task as it stands in this draft, read only."""
@@ -36,7 +40,7 @@
         """The task to change, or None when the transaction has no room for its chunk."""
         k, offset = divmod(index, c.CHUNK_TASKS)
         if k not in self._chunks:
-            if len(self._chunks) >= self._most_chunks:
+            if len(self._chunks) >= self._limits.chunks or not self._more_conditions():
                 return None
             old = self.job.chunks.get(k)
             if old is None:
@@ -47,20 +51,30 @@
             self.conditions[r.chunk_key(self.job.id, k)] = old.version if old else 0
         return self._chunks[k][offset]
 
+    def _more_conditions(self) -> bool:
+        return len(self.conditions) < self._limits.conditions
+
     def require_machine(self, machine: str) -> bool:
         """The commit holds only while the machine's record stays as it is now."""
         record = self.replica.machines.get(machine)
         if record is None or record.record.state != "up":
             return False
         key = r.machine_key(machine)
-        if key not in self.conditions and len(self.conditions) >= self._most_conditions:
+        if key not in self.conditions and not self._more_conditions():
             return False
         self.conditions[key] = record.version
         return True
 
     def touch(self) -> None:
         """Writes the job's record even if it did not change, so that its mark moves."""
-        self.puts.setdefault(r.job_key(self.job.id), self.job.record)
+        key = r.job_key(self.job.id)
+        if key in self.puts:
+            return
+        if self._limits.fits(msgspec.json.encode(self.job.record)):
+            self.puts[key] = self.job.record
+        else:
+            # Written under larger limits. The view's mark is a condition of every change too.
+            self.puts[r.VIEW] = self.replica.view
 
     def finish(self) -> None:
         """Works out the job's end and what has to be written."""
@@ -70,6 +84,9 @@
             before = old.tasks if old else []
             if tasks == before or (not before and all(t == r.Task() for t in tasks)):
                 continue
+            for task in tasks:
+                # Reasons that an older version wrote in full shrink too, or it would not fit.
+                task.why, task.stop = short(task.why), short(task.stop)
             self.puts[r.chunk_key(self.job.id, k)] = tasks
             done += sum(t.done for t in tasks) - sum(t.done for t in before)
             bound += sum(bool(t.machine) for t in tasks) - sum(bool(t.machine) for t in before)
@@ -77,12 +94,15 @@
         assert record is not None
         if self.status == "open" and done == self.spec.tasks:
             self.status = "done"
+        ended = record.ended
+        if self.status != "open" and record.status == "open":
+            ended = self._wall
         over = self.status != "open" and bound == 0
         if over and len(self.job.chunks) <= self._most_deletes:
             # Over and all gone: one slim record stays, so that its end is never forgotten.
             self.puts = {}
             self.deletes = [r.chunk_key(self.job.id, k) for k in self.job.chunks]
-            slim = r.JobRecord(self.status, record.tasks, record.at)
+            slim = r.JobRecord(self.status, record.tasks, record.at, None, ended)
             self.puts[r.job_key(self.job.id)] = slim
         elif over and record.status != "open":
             # Too many chunks for one transaction; the end is durable, so they may go one by one.
@@ -90,6 +110,14 @@
             self.puts = {}
             self.deletes = [r.chunk_key(self.job.id, k) for k in first]
         elif self.status != record.status:
-            self.puts[r.job_key(self.job.id)] = r.JobRecord(
-                self.status, record.tasks, record.at, self.spec
+            self.puts[r.job_key(self.job.id)] = self._ended(record, ended)
+
+    def _ended(self, record: r.JobRecord, ended: float) -> r.JobRecord:
+        """Over, with tasks not proved gone: their description is still needed to count them."""
+        new = r.JobRecord(self.status, record.tasks, record.at, self.spec, ended)
+        if not self._limits.fits(msgspec.json.encode(new)):
+            # Accepted under larger limits: what only a start needs is not needed any more.
+            new.spec = msgspec.structs.replace(
+                self.spec, klass="", image="", types=None, zone=None, waits_on=[]
             )
+        return new
--- a/pulleydeal/store/records.py
+++ b/pulleydeal/store/records.py
@@ -4,10 +4,17 @@
   p/view          the view: epoch, members, cut pairs
   p/n/<member>    a member's incarnation, attached to its lease
   p/j/<job>       a job: description and status; slim once it is over
-  p/c/<job>/<k>   tasks 64k..64k+63 of a job (absent: all wait for their first start)
+  p/c/<job>/<k>   tasks 32k..32k+31 of a job (absent: all wait for their first start)
   p/m/<machine>   a machine
   p/r/<request>   a rental that may have been asked for and not yet been recorded
   p/catalog       the machine types, so that a node can start while the cloud is down
+  p/t/<k>         more machine types, where one value does not hold them all
+  p/s/<node>      which records a node's version can keep; stays when the node is away
+
+Other versions read and rewrite these too. A rewrite by an older version drops the fields that it
+does not know, and a new value of a closed set stops it; so fields are only added, at the end,
+each with a meaning when it is absent, and nothing that must last is asked for before every node
+has shown in `p/s/` that it keeps it.
 """
 
 from typing import Literal
@@ -46,6 +53,7 @@
     checkpoint_s: float = 0.0
     save_s: float = 0.0
     deadline_s: float | None = None
+    waits_on: list[str] = []  # jobs that must be done before any task of this one starts
 
 
 class JobRecord(Struct, omit_defaults=True):
@@ -53,6 +61,7 @@
     tasks: int
     at: float = 0.0  # wall clock of acceptance
     spec: JobSpec | None = None  # None once the job is over and all its tasks are gone
+    ended: float = 0.0  # wall clock of its end; 0: not over, or ended by a version without it
 
 
 class Task(Struct, array_like=True, omit_defaults=True):
@@ -66,6 +75,12 @@
 
 class Member(Struct):
     incarnation: str
+    format: int = 0  # constants.FORMAT of the version that runs; 0: the one before there was any
+
+
+class Software(Struct):
+    format: int
+    version: str
 
 
 class View(Struct):
@@ -129,6 +144,14 @@
     return f"p/n/{member}"
 
 
+def types_key(index: int) -> str:
+    return f"p/t/{index:04x}"
+
+
+def software_key(node: str) -> str:
+    return f"p/s/{node}"
+
+
 CHUNK = msgspec.json.Decoder(list[Task])
 JOB = msgspec.json.Decoder(JobRecord)
 MACHINE = msgspec.json.Decoder(MachineRecord)
@@ -136,3 +159,4 @@
 VIEW_DECODER = msgspec.json.Decoder(View)
 MEMBER = msgspec.json.Decoder(Member)
 CATALOG_DECODER = msgspec.json.Decoder(Catalog)
+SOFTWARE = msgspec.json.Decoder(Software)
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -4,77 +4,18 @@
 import logging
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from pulleydeal import constants as c
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
+from pulleydeal.store.job import Chunk, Job
+from pulleydeal.store.pipelines import Pipelines
 
 log = logging.getLogger("pulleydeal.store")
 TaskId = tuple[str, int]
 
 
-@dataclass(slots=True)
-class Chunk:
-    version: int
-    tasks: list[r.Task]
-    waiting: int = 0  # tasks neither bound nor done
-
-
-@dataclass(slots=True)
-class Job:
-    id: str
-    version: int = 0
-    record: r.JobRecord | None = None
-    chunks: dict[int, Chunk] = field(default_factory=dict)
-    done: int = 0  # tasks done
-    on_machines: dict[int, r.Task] = field(default_factory=dict)  # not proved gone
-    last_stop: str = ""  # why one of its tasks was last stopped
-
-    @property
-    def spec(self) -> r.JobSpec | None:
-        return self.record.spec if self.record else None
-
-    @property
-    def bound(self) -> int:
-        return len(self.on_machines)
-
-    @property
-    def is_open(self) -> bool:
-        return self.record is not None and self.record.status == "open"
-
-    def task(self, index: int) -> r.Task:
-        chunk = self.chunks.get(index // c.CHUNK_TASKS)
-        if chunk is None:
-            return r.Task()
-        return chunk.tasks[index % c.CHUNK_TASKS]
-
-    def bindings(self) -> list[tuple[int, r.Task]]:
-        return list(self.on_machines.items())
-
-    def waiting(self, most: int) -> list[int]:
-        """The first tasks that are neither bound nor done; chunks without any are skipped."""
-        if self.spec is None:
-            return []
-        found: list[int] = []
-        for k in range(-(-self.spec.tasks // c.CHUNK_TASKS)):
-            chunk = self.chunks.get(k)
-            if chunk is not None and not chunk.waiting:
-                continue
-            first = k * c.CHUNK_TASKS
-            if chunk is None:
-                found += range(first, min(first + c.CHUNK_TASKS, self.spec.tasks))
-            else:
-                found += [
-                    first + offset
-                    for offset, task in enumerate(chunk.tasks)
-                    if not task.machine and not task.done
-                ]
-            if len(found) >= most:
-                return found[:most]
-        return found
-
-
 @dataclass(slots=True)
 class Machine:
     id: str
@@ -89,7 +30,7 @@
     record: r.RentalRecord
 
 
-# (kind, id): view, member, job, machine, rental, catalog; `bound` names a machine whose
+# (kind, id): view, member, software, job, machine, rental, catalog; `bound` names a machine whose
 # bindings changed, so that nobody has to look at all machines or at all tasks of a job.
 Listener = Callable[[str, str], None]
 
@@ -111,13 +52,18 @@
         self.machines: dict[str, Machine] = {}
         self.rentals: dict[str, Rental] = {}
         self.members: dict[str, str] = {}
+        self.formats: dict[str, int] = {}  # member -> records that its version keeps
+        self.software: dict[str, int] = {}  # node -> the same, durably, also while it is away
         self.view = r.View()
         self.view_version = 0
         self.catalog = r.Catalog()
+        self.more_types: dict[str, r.Catalog] = {}  # that the catalogue's value can't hold
         self.types: dict[str, r.MachineType] = {}
         self.bound: dict[str, dict[TaskId, r.Task]] = {}
         self.zone_of: dict[str, str] = {}  # machine -> zone
         self.open_changes = 0  # moves whenever a job opens or ends
+        self._pipelines = Pipelines(self.jobs)
+        self._led: set[str] = set()  # jobs that another job's change concerns, not yet told
         self._used: dict[str, tuple[float, float]] = {}  # team -> cpus, gpus of all bound
         self._rebound: set[str] = set()  # machines whose bindings changed since last told
         self._versions: dict[str, int] = {}
@@ -191,16 +137,23 @@
             self.rentals[rest] = Rental(rest, version, r.RENTAL.decode(value))
             return "rental", rest
         if kind == "n":
-            self.members[rest] = r.MEMBER.decode(value).incarnation
+            member = r.MEMBER.decode(value)
+            self.members[rest] = member.incarnation
+            self.formats[rest] = member.format
             return "member", rest
+        if kind == "s":
+            self.software[rest] = r.SOFTWARE.decode(value).format
+            return "software", rest
         if kind == "view":
             self.view = r.VIEW_DECODER.decode(value)
             self.view_version = version
             return "view", ""
         if kind == "catalog":
             self.catalog = r.CATALOG_DECODER.decode(value)
-            self.types = {t.name: t for t in self.catalog.types}
-            return "catalog", ""
+            return self._know_types()
+        if kind == "t":
+            self.more_types[rest] = r.CATALOG_DECODER.decode(value)
+            return self._know_types()
         return None
 
     def _delete(self, key: str, version: int) -> tuple[str, str] | None:
@@ -222,9 +175,18 @@
             return "rental", rest
         if kind == "n":
             self.members.pop(rest, None)
+            self.formats.pop(rest, None)
             return "member", rest
+        if kind == "t":
+            self.more_types.pop(rest, None)
+            return self._know_types()
         return None
 
+    def _know_types(self) -> tuple[str, str]:
+        more = [t for _, part in sorted(self.more_types.items()) for t in part.types]
+        self.types = {t.name: t for t in [*self.catalog.types, *more]}
+        return "catalog", ""
+
     def _set_job(self, job_id: str, record: r.JobRecord, version: int) -> None:
         job = self.jobs.setdefault(job_id, Job(job_id))
         if record.spec is None:
@@ -236,6 +198,9 @@
         self._account(job, -job.bound)
         job.version = version
         job.record = record
+        if record.spec is None:
+            job.spec = None
+        self._led |= self._pipelines.changed(job)
         self._account(job, job.bound)  # chunks may be read before their job's description
         self.open_changes += 1
 
@@ -310,7 +275,8 @@
 
     def _notify(self, touched: list[tuple[str, str]]) -> None:
         rebound, self._rebound = self._rebound, set()
-        touched = list(dict.fromkeys(touched))
+        led, self._led = self._led, set()
+        touched = list(dict.fromkeys([*touched, *(("job", job) for job in sorted(led))]))
         touched += [("bound", machine) for machine in rebound]
         for kind, name in touched:
             for listener in self._listeners:
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -12,8 +12,16 @@
 from pulleydeal.clock import Clock
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
-from pulleydeal.store.client import LeaseLost, StateClient, TooOld, Unavailable, Unknown
+from pulleydeal.store.client import (
+    LeaseLost,
+    Refused,
+    StateClient,
+    TooOld,
+    Unavailable,
+    Unknown,
+)
 from pulleydeal.store.draft import Draft
+from pulleydeal.store.limits import Limits, TooLarge
 from pulleydeal.store.replica import Replica
 
 log = logging.getLogger("pulleydeal.store")
@@ -35,13 +43,18 @@
 
 class Store:
     def __init__(
-        self, client: StateClient, replica: Replica, clock: Clock, rng: random.Random, txn_ops: int
+        self,
+        client: StateClient,
+        replica: Replica,
+        clock: Clock,
+        rng: random.Random,
+        limits: Limits,
     ) -> None:
         self.client = client
         self.replica = replica
         self._clock = clock
         self._rng = rng
-        self._txn_ops = txn_ops
+        self.limits = limits
         self.known_at = -1e9  # when the replica was last proved to be current
         self._barrier: asyncio.Future[int] | None = None
         self._pending: dict[str, list[tuple[Mutator, bool, asyncio.Future[bool]]]] = {}
@@ -113,8 +126,10 @@
         urgent: bool = True,
     ) -> bool:
         """One transaction. True: done and shown in the replica. False: a condition failed,
-        and the replica is as new as that. Raises Unavailable, Unknown or LeaseLost."""
+        and the replica is as new as that. Raises Unavailable, Unknown, LeaseLost, or TooLarge
+        for what the state service would never take."""
         encoded = {key: msgspec.json.encode(value) for key, value in puts.items()}
+        self.limits.check(conditions, encoded, deletes or [])
         leases = lease or {}
         changes: list[dict[str, Any]] = [
             m.put(key, msgspec.Raw(value), leases.get(key)) for key, value in encoded.items()
@@ -168,7 +183,7 @@
                 job = self.replica.jobs.get(job_id)
                 if job is None or job.spec is None:
                     return False
-                draft = Draft(job, self.replica, self._txn_ops)
+                draft = Draft(job, self.replica, self.limits, self._clock.wall())
                 for mutate, _, _ in batch:
                     mutate(draft)
                 draft.finish()
@@ -186,6 +201,10 @@
                 except (Unavailable, TimeoutError) as error:
                     log.debug("commit of %s: %s", job_id, error)
                     await backoff.pause()
+                except (TooLarge, Refused) as error:
+                    # Tried again it would be refused again, for ever.
+                    log.error("job %s: change given up: %s", job_id, error)
+                    return False
                 except Unknown as error:
                     # The transaction may be applied late: read back first. Whatever happened,
                     # the marks let at most one of it and its successor through.
@@ -214,6 +233,9 @@
         except (Unavailable, Unknown, LeaseLost, TimeoutError) as error:
             log.debug("%s: %s", name, error)
             await asyncio.sleep(c.LOOP_PAUSE_S)
+        except (TooLarge, Refused) as error:
+            log.error("%s: change given up: %s", name, error)
+            await asyncio.sleep(c.LOOP_PAUSE_S)
         except Exception:  # no failure may silently end a loop
             log.exception("%s failed; goes on after a pause", name)
             await asyncio.sleep(c.LOOP_PAUSE_S)
--- a/pulleydeal/submissions/messages.py
+++ b/pulleydeal/submissions/messages.py
@@ -39,6 +39,7 @@
     types: list[Name] | None = msgspec.field(name="rig_models", default=None)
     zone: Name | None = msgspec.field(name="yard", default=None)
     deadline_s: Amount | None = msgspec.field(name="due_s", default=None)
+    waits_on: list[Annotated[str, Meta(pattern=JOB_ID)]] | None = None
 
     def spec(self) -> JobSpec:
         return JobSpec(
@@ -62,6 +63,7 @@
             self.checkpoint_s,
             self.save_s,
             self.deadline_s,
+            list(dict.fromkeys(self.waits_on or [])),
         )
 
 
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -19,7 +19,8 @@
 from pulleydeal.store import records as r
 from pulleydeal.store.client import Unavailable, Unknown
 from pulleydeal.store.draft import Draft
-from pulleydeal.store.replica import Job
+from pulleydeal.store.job import Job
+from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
 from pulleydeal.submissions import messages as m
 
@@ -126,7 +127,12 @@
         why = refusal(spec, self._teams, self._replica.types, self._zones)
         if why:
             return await self._refused(spec.id, 422, why)
+        if spec.waits_on and (reply := await self._needed(spec)) is not None:
+            return reply
         record = r.JobRecord("open", spec.tasks, self._clock.wall(), spec)
+        why = self._too_large(record)
+        if why:
+            return await self._refused(spec.id, 422, why)
         key = r.job_key(spec.id)
         for _ in range(c.SCRATCH_TRIES):
             conditions = {key: 0, r.VIEW: self._replica.view_version}
@@ -145,6 +151,32 @@
                 return await self.show(spec.id)
         return answer(503, {"error": "the view keeps changing"}, c.RETRY_AFTER_S)
 
+    async def _needed(self, spec: r.JobSpec) -> Response | None:
+        """Why a job that waits on others can't be accepted now, or ever."""
+        if not self._membership.all_keep(c.FORMAT):
+            # A node of an older version would start its tasks at once if it came to lead it.
+            return answer(503, {"error": "an older version still serves"}, c.RETRY_AFTER_S)
+        jobs = self._replica.jobs
+        if any(name not in jobs for name in spec.waits_on):
+            await self._store.fresh()  # another node may have accepted it a moment ago
+        for name in spec.waits_on:
+            job = jobs.get(name)
+            if job is None or job.record is None:
+                return await self._refused(spec.id, 422, f"waits on {name}, which nobody submitted")
+            if job.is_open and job.spec is not None and job.spec.kind == "service":
+                why = f"waits on {name}, a service, which is never done"
+                return await self._refused(spec.id, 422, why)
+        return None
+
+    def _too_large(self, record: r.JobRecord) -> str:
+        """The record must fit in every state that it may come to."""
+        longest = msgspec.structs.replace(record, status="cancelled", ended=record.at)
+        size = len(msgspec.json.encode(longest))
+        limit = self._store.limits.value_b
+        if size <= limit:
+            return ""
+        return f"its description takes {size} B, of {limit} B at most: fewer or shorter names"
+
     async def _refused(self, job: str, status: int, why: str) -> Response:
         """A repeat of an accepted job is 200 whatever else is true of it."""
         await self._store.fresh()
@@ -181,7 +213,7 @@
         assert job.record is not None
         if job.record.status == "done":
             return m.State(job.id, "done", job.record.tasks, 0)
-        if job.record.status == "cancelled":
+        if job.is_cancelled:
             return m.State(job.id, "cancelled", job.done, 0)
         state = "running" if job.bound else "queued"
         return m.State(job.id, state, job.done, job.bound, self._note(job))
@@ -189,11 +221,14 @@
     def _note(self, job: Job) -> str:
         assert job.record is not None
         waiting = ""
-        if job.done + job.bound < job.record.tasks:
+        if job.blockers:
+            named = sorted(job.blockers)[: c.NAMED_IN_NOTE]
+            more = len(job.blockers) - len(named)
+            waiting = f"waits for {', '.join(named)}" + (f" and {more} more" if more else "")
+        elif job.done + job.bound < job.record.tasks:
             waiting = f"waits for {self._reason(job.id) or 'credit'}"
-        return "; ".join(
-            part for part in (waiting, job.last_stop and f"last stop: {job.last_stop}") if part
-        )
+        stopped = job.last_stop and f"last stop: {shown(job.last_stop)}"
+        return "; ".join(part for part in (waiting, stopped) if part)
 
     # --- cancel -----------------------------------------------------------------------------
     async def cancel(self, job_id: str) -> Response:
@@ -205,8 +240,7 @@
             log.info("job %s: cancel asked by its user", job_id)
         if not _is_final(job):
             return answer(503, {"error": "try again"}, c.RETRY_AFTER_S)
-        assert job.record is not None
-        return answer(200, m.State(job_id, job.record.status))
+        return answer(200, m.State(job_id, "cancelled" if job.is_cancelled else "done"))
 
 
 def _cancel(draft: Draft) -> None:
@@ -215,4 +249,4 @@
 
 
 def _is_final(job: Job | None) -> bool:
-    return job is not None and job.record is not None and job.record.status != "open"
+    return job is not None and job.is_over
--- a/pulleydeal/workers/messages.py
+++ b/pulleydeal/workers/messages.py
@@ -5,8 +5,13 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from pulleydeal import constants as c
+
 Count = Annotated[int, Meta(ge=0)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]  # as long as settings allow
+# A longer id would make a full chunk of bindings larger than the state service takes.
+MachineId = Annotated[str, Meta(pattern=rf"^[A-Za-z0-9._-]{{1,{c.MACHINE_CHARS}}}$")]
 STATES = {
     "fetching": "fetching",
     "gathering": "waiting",
@@ -34,10 +39,10 @@
 
 
 class Report(Struct):
-    machine: Text = msgspec.field(name="block")
+    machine: MachineId = msgspec.field(name="block")
     addr: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
-    type: Text = msgspec.field(name="rig_model")
-    zone: Text = msgspec.field(name="yard")
+    type: Name = msgspec.field(name="rig_model")
+    zone: Name = msgspec.field(name="yard")
     spot: bool = msgspec.field(name="loaners")
     session: Count = msgspec.field(name="shift")
     seq: Count = msgspec.field(name="tally")
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -18,6 +18,7 @@
 from pulleydeal.settings import WorkerTimes
 from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
+from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.station import (
@@ -281,7 +282,7 @@
             job = self._replica.jobs[task_id[0]]
             if job.spec is not None:
                 over = ""
-                if job.id in relayed or (job.record and job.record.status == "cancelled"):
+                if job.id in relayed or job.is_cancelled:
                     over = "cancelled by its user"
                 elif not job.is_open:
                     over = "its job is done"
@@ -322,7 +323,7 @@
             gone.attempt,
             gone.machine,
             gone.outcome,
-            gone.detail,
+            shown(gone.detail),
         )
         self._metrics.stops.labels(gone.outcome).inc()
         future = self._store.change_job(gone.job, partial(self._prove, station, gone), urgent=True)
@@ -529,7 +530,7 @@
         return
     task.machine = ""
     task.stop = ""
-    task.why = gone.detail[: c.REASON_CHARS]
+    task.why = gone.detail
     if gone.outcome == "done":
         task.why = ""
         if draft.spec.kind != "service":
@@ -541,7 +542,7 @@
                 if peer is not None and peer.attempt == gone.attempt:
                     peer.done = True
     if gone.outcome == "error":
-        task.fails += 1
+        task.fails = min(task.fails + 1, c.MAX_FAILS)
 
 
 def apply_stop(draft: Draft, index: int, attempt: int, why: str) -> None:
@@ -551,4 +552,4 @@
         if old.machine and old.attempt == attempt and not old.stop and not old.done:
             task = draft.edit(i)
             if task is not None:
-                task.stop = why[: c.REASON_CHARS]
+                task.stop = why
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -20,10 +20,29 @@
         self.broken.append(f"{self._now():.2f} {rule}: {text}")
 
     # --- what tasks do ----------------------------------------------------------------------
-    def on(self, lift: str, block: str, type_: str, yard: str, loaners: bool) -> None:
+    def _done(self, job: str, results: set[str]) -> bool:
+        missing = self._missing(job, results)
+        gang = self.uploads[job]["haul"] == "gang"
+        return not missing or (gang and len(missing) < self.uploads[job]["lifts"])
+
+    def _missing(self, job: str, results: set[str]) -> list[int]:
+        return [i for i in range(self.uploads[job]["lifts"]) if f"{job}/{i}" not in results]
+
+    def on(
+        self,
+        lift: str,
+        block: str,
+        type_: str,
+        yard: str,
+        loaners: bool,
+        results: set[str] = frozenset(),  # type: ignore[assignment]
+    ) -> None:
         self.starts += 1
         name = lift.rpartition("/")[0]
         job = self.uploads[name]
+        for needed in job.get("waits_on") or ():
+            if not self._done(needed, results):
+                self._break("too_early", f"{lift}, and {needed} is not done")
         if self.places.get(lift):
             self._break("ran_twice", f"{lift} on {block} and {sorted(self.places[lift])}")
         others = [
@@ -59,8 +78,9 @@
 
     def check_cancelled(self) -> None:
         for lift, blocks in self.places.items():
-            at = self._cancelled.get(lift.rpartition("/")[0])
-            if blocks and at is not None and self._now() - at > self._cancel_s:
+            name = lift.rpartition("/")[0]
+            at = min(self._cancelled.get(x, float("inf")) for x in {name, *self._needed(name)})
+            if blocks and self._now() - at > self._cancel_s:
                 self._break("ran_cancelled", f"{lift} on {sorted(blocks)}")
 
     # --- what users hear ----------------------------------------------------------------------
@@ -77,13 +97,40 @@
             return
         if before in ("done", "cancelled") and state != before:
             self._break("went_back", f"{job} from {before} to {state}")
-        if state == "cancelled" and job not in self._cancelled:
+        by_another = any(x in self._cancelled for x in self._needed(job))
+        if state == "cancelled" and job not in self._cancelled and not by_another:
             self._break("went_back", f"{job} cancelled by nobody")
-        missing = [i for i in range(self.uploads[job]["lifts"]) if f"{job}/{i}" not in results]
-        gang = self.uploads[job]["haul"] == "gang"
-        if state == "done" and missing and not (gang and len(missing) < self.uploads[job]["lifts"]):
-            self._break("not_done", f"{job}: {missing[:5]}")
+        if state == "done" and not self._done(job, results):
+            self._break("not_done", f"{job}: {self._missing(job, results)[:5]}")
+        if state in ("queued", "running") and before is not None and self._orphan(job):
+            self._break("orphaned", f"{job} is {state}")
         self._told[job] = state
+        if before is None and self._needs_cancelled(job):
+            # Submitted after the cancellation was told: its own time begins with its acceptance.
+            self._cancelled.setdefault(job, self._now())
+
+    def accepted(self, job: str) -> bool:
+        return job in self._told
+
+    def _needs_cancelled(self, job: str) -> bool:
+        return any(self._cancelled.get(x, 1e18) < 1e18 for x in self._needed(job))
+
+    def _needed(self, job: str) -> set[str]:
+        """All jobs that it needs, directly or through others."""
+        found: set[str] = set()
+        left = list(self.uploads[job].get("waits_on") or ())
+        while left:
+            name = left.pop()
+            if name not in found and name in self.uploads:
+                found.add(name)
+                left += self.uploads[name].get("waits_on") or ()
+        return found
+
+    def _orphan(self, job: str) -> bool:
+        told = [self._cancelled[x] for x in self._needed(job) if x in self._cancelled]
+        return any(
+            self._now() - max(at, self._cancelled.get(job, at)) > self._cancel_s for at in told
+        )
 
     def asked_cancel(self, job: str, told: bool) -> None:
         self._cancelled.setdefault(job, float("inf"))
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -1,11 +1,14 @@
 """Plays a readable scenario against three whole nodes and the stand-ins, by a virtual clock.
 
 A scenario is a text file, one event a line: a time in seconds, a verb, its words.
-  submit JOB KIND TASKS RUN_S [name=value ...]   a user submits (and repeats until answered)
+  submit JOB KIND TASKS RUN_S [name=value ...]   a user submits (and repeats until answered);
+                                                 waits_on=j-1,j-2: after those are accepted
   cancel JOB          | poll JOB                  | resubmit JOB
   crash NODE [FOR_S]  | crash all [FOR_S]         | state down|up | state refuse NODE|none
   cloud down|up       | cut ZONE ZONE | cut BLOCK | heal | lose SHARE
   die BLOCK | sick BLOCK | notice BLOCK SECONDS
+  state limits VALUE_KB TXN_OPS WRITE_RPS        the state service's limits from now on
+  load FILE                                      records that another version left behind
   capacity COUNT                                 machines to be had of each kind in each zone
   crowd JOB COUNT KIND TASKS RUN_S [name=value ...]   COUNT users submit at once, from JOB on
   expect JOB STATE [COUNT] | expect machines COUNT | expect starts COUNT | expect NODE UP
@@ -112,7 +115,13 @@
                     "gang_peer_s": 8.0,
                     "cancel_s": CANCEL_S,
                 },
-                "state": {"rps": 200.0, "write_rps": 80.0, "value_kb": 8.0, "txn_ops": 32},
+                "state": {
+                    "rps": 200.0,
+                    "write_rps": 80.0,
+                    "value_kb": 8.0,
+                    "txn_ops": 32,
+                    "next": {"write_rps": 56.0, "value_kb": 2.0, "txn_ops": 10},
+                },
                 "cloud": {"rps": 4.0, "list_lag_s": 5.0},
             },
         }
@@ -190,7 +199,10 @@
         }
         for word in more:
             name, _, value = word.partition("=")
-            body[name] = json.loads(value) if value[:1] in "0123456789tfn" else value
+            if name == "waits_on":
+                body[name] = value.split(",")
+            else:
+                body[name] = json.loads(value) if value[:1] in "0123456789tfn" else value
         return body
 
     # --- events -----------------------------------------------------------------------------
@@ -208,7 +220,12 @@
     def do_submit(self, job: str, kind: str, tasks: str, run_s: str, *more: str) -> None:
         body = self._submission(job, kind, tasks, run_s, list(more))
         self.rules.uploads[job] = body
-        on_host(self._users, self._ask("POST", job, "/submissions", body))
+        on_host(self._users, self._submit(job, body))
+
+    async def _submit(self, job: str, body: dict[str, Any]) -> None:
+        while any(not self.rules.accepted(needed) for needed in body.get("waits_on") or ()):
+            await asyncio.sleep(0.05)
+        await self._ask("POST", job, "/submissions", body)
 
     def do_crowd(self, first: str, count: str, *words: str) -> None:
         for job in _row(first, count):
@@ -234,8 +251,10 @@
             self._network.kill(self._hosts[node])
             self._loop.call_later(float(for_s), self._start_node, node)
 
-    def do_state(self, what: str, node: str = "none") -> None:
-        if what == "refuse":
+    def do_state(self, what: str, node: str = "none", *more: str) -> None:
+        if what == "limits":
+            self.state.limit(float(node), int(more[0]), float(more[1]))
+        elif what == "refuse":
             self.state.refuse = {self._nodes[node]} if node in self._nodes else set()
         else:
             self.state.set_down(what == "down")
--- a/standins/state.py
+++ b/standins/state.py
@@ -23,6 +23,11 @@
         self.down = False
         self.refuse: set[str] = set()  # hosts that alone get 503
         self.lose = 0.0  # share of commits whose answer is lost; half of those apply late
+        self._value_b, self._ops = 8 * 1024, 32
+        self._write_rps: float | None = None  # None: any rate
+        self._may_write, self._may_write_at = 0.0, 0.0
+        self.too_large: list[str] = []  # what was refused with 400 for its size
+        self.refused_writes = 0
         self.server = Server(self.handle, 10_000)
 
     async def run(self, address: str) -> None:
@@ -40,6 +45,34 @@
         self.down = down
         self._wake()
 
+    def limit(self, value_kb: float, ops: int, write_rps: float | None) -> None:
+        self._value_b, self._ops, self._write_rps = int(value_kb * 1024), ops, write_rps
+        self._may_write, self._may_write_at = 0.0, asyncio.get_running_loop().time()
+
+    def _over(self, body: dict[str, Any]) -> str:
+        """Why a transaction is larger than the limits of this moment."""
+        changes, checks = body.get("apply", []), body.get("if", [])
+        if len(changes) > self._ops or len(checks) > 4 * self._ops:
+            return f"{len(changes)} changes, {len(checks)} conditions"
+        for change in changes:
+            size = len(json.dumps(change.get("data"), separators=(",", ":")).encode())
+            if size > self._value_b:
+                return f"{change['set']} has {size} bytes"
+        return ""
+
+    def _too_fast(self, changes: int) -> bool:
+        if self._write_rps is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        more = (now - self._may_write_at) * self._write_rps
+        self._may_write = min(self._write_rps, self._may_write + more)
+        self._may_write_at = now
+        if self._may_write < changes:
+            self.refused_writes += 1
+            return True
+        self._may_write -= changes
+        return False
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -106,6 +139,12 @@
         if self.down:
             return answer(503, {"error": "outage"})
         changes = body.get("apply", [])
+        over = self._over(body)
+        if over:
+            self.too_large.append(over)
+            return answer(400, {"error": f"too large: {over}"})
+        if changes and self._too_fast(len(changes)):
+            return answer(429, {"error": "too many changes"})
         for change in changes:
             if change.get("charter") is not None and change["charter"] not in self._holds:
                 return answer(400, {"error": "no such lease"})
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -233,7 +233,9 @@
     def _advance(self, lift: str, r: Running, now: float) -> None:
         if r.tension == "fetching" and now >= r.ready_at:
             self._images.add(r.job["tackle"])
-            self._world.rules.on(lift, self.block, self.kind["name"], self.yard, self.loaners)
+            self._world.rules.on(
+                lift, self.block, self.kind["name"], self.yard, self.loaners, self._world.results
+            )
             r.tension = "running"
             if self.sick:
                 self._exit(lift, r, "error")
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -28,7 +28,7 @@
         "image_gb": 1.0,
     }
     spec = r.JobSpec(**(values | more))  # type: ignore[arg-type]
-    return Job(name, 1, r.JobRecord("open", tasks, 0.0, spec))
+    return Job(name, 1, r.JobRecord("open", tasks, 0.0, spec), spec)
 
 
 def demand(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -5,15 +5,19 @@
 import msgspec
 
 from pulleydeal import constants as c
+from pulleydeal.settings import StateLimits
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
 from pulleydeal.store.client import StateClient
 from pulleydeal.store.draft import Draft
-from pulleydeal.store.replica import Job, Replica
+from pulleydeal.store.job import Job
+from pulleydeal.store.limits import Limits
+from pulleydeal.store.reasons import short
+from pulleydeal.store.replica import Replica
 from pulleydeal.workers.service import apply_exit, apply_stop
 from pulleydeal.workers.station import Exit
 
-TXN_OPS = 24
+LIMITS = Limits(2000, 8)
 
 
 class Store:
@@ -33,7 +37,7 @@
     def write(self, puts: dict[str, object], deletes: list[str]) -> None:
         self.version += 1
         raw = {key: msgspec.json.encode(value) for key, value in puts.items()}
-        assert len(puts) + len(deletes) <= TXN_OPS
+        assert len(puts) + len(deletes) <= LIMITS.ops
         assert all(len(value) <= c.CHUNK_B for value in raw.values())
         assert sum(map(len, raw.values())) <= c.COMMIT_B
         events = [m.Event(self.version, k, None, msgspec.Raw(v)) for k, v in raw.items()]
@@ -41,7 +45,7 @@
         self.replica.apply(m.Changes(self.version, events))
 
     def change(self, *mutators: object) -> Draft:
-        draft = Draft(self.job, self.replica, TXN_OPS)
+        draft = Draft(self.job, self.replica, LIMITS, 5.0)
         for mutate in mutators:
             mutate(draft)  # type: ignore[operator]
         draft.finish()
@@ -71,7 +75,7 @@
         apply_stop(draft, index, 1, "x" * 200)
         task = draft.edit(index)
         assert task is not None
-        task.why = "y" * c.REASON_CHARS
+        task.why = "y" * 48
 
     return mutate
 
@@ -84,7 +88,7 @@
     assert store.job.is_open
     draft = store.change(ended(2, "done"))
     assert draft.deletes == ["p/c/j-1/0000"]
-    assert store.job.record == r.JobRecord("done", 3) and store.replica.bound == {}
+    assert store.job.record == r.JobRecord("done", 3, ended=5.0) and store.replica.bound == {}
 
 
 def test_proof_of_an_earlier_attempt_changes_nothing() -> None:
@@ -100,7 +104,7 @@
     store = Store(3, "gang")
     store.change(bind(0), bind(1), bind(2))
     store.change(lambda draft: apply_stop(draft, 1, 1, "a drain"))
-    assert [task.stop for _, task in store.job.bindings()] == ["a drain"] * 3
+    assert [task.stop for _, task in store.job.bindings()] == [short("a drain")] * 3
     store.change(ended(1, "done"))
     assert store.job.record is not None and store.job.record.status == "done"
     assert store.job.bound == 2  # their machines are not proved free yet
@@ -117,13 +121,13 @@
     store.change(cancel)
     assert not store.job.is_open and store.job.spec is not None
     store.change(ended(0, "stopped"))
-    assert store.job.record == r.JobRecord("cancelled", 2)
+    assert store.job.record == r.JobRecord("cancelled", 2, ended=5.0)
 
 
 def test_a_job_of_100_000_tasks_stays_within_every_limit() -> None:
     store = Store(100_000)
     steps = 0
-    most_chunks = c.COMMIT_B // c.CHUNK_B
+    most_chunks = LIMITS.ops - 1
     while store.job.is_open:
         batch = store.job.waiting(c.CHUNK_TASKS * most_chunks)
         steps += 1
@@ -135,7 +139,7 @@
     assert store.job.done == 100_000 and steps == -(-100_000 // c.CHUNK_TASKS // most_chunks)
     while store.job.spec is not None:
         store.change()
-    assert store.job.record == r.JobRecord("done", 100_000)
+    assert store.job.record == r.JobRecord("done", 100_000, ended=5.0)
     assert store.job.chunks == {} and store.replica.bound == {}
 
 
@@ -224,8 +228,10 @@
         def wall(self) -> float:
             return now[0]
 
+    limits = StateLimits(200.0, 90.0 / c.WRITE_SHARE, 8.0, 24)
+
     def written(others: list[float | None]) -> int:
-        client = StateClient("127.0.0.1:1", Clock(), 200.0, 90.0 / c.WRITE_SHARE, 3)
+        client = StateClient("127.0.0.1:1", Clock(), limits, 3)
         client._writes.take(1e9, True)  # the burst is spent
         client.share_writes(others)
         now[0] += 1e9
