--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,197 @@
+"""Old and new versions on one set of data: what production wrote is read, and it reads ours.
+
+`traces/production.txt` says where each of its lines comes from; `production.py` is a frozen copy of
+production's definitions.
+"""
+
+import random
+from pathlib import Path
+
+import msgspec
+import production
+import pytest
+
+from pulleydeal import constants as c
+from pulleydeal.credits import messages as credit_messages
+from pulleydeal.fleet import plan
+from pulleydeal.frames import Unpacker
+from pulleydeal.membership import messages as membership_messages
+from pulleydeal.settings import NextLimits, StateLimits
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+from pulleydeal.store.draft import Draft
+from pulleydeal.store.limits import Limits, TooLarge, tightest
+from pulleydeal.store.reasons import CODES, short, shown
+from pulleydeal.store.replica import Replica
+from pulleydeal.workers.service import apply_exit, apply_stop
+from pulleydeal.workers.station import Exit
+
+RECORDS, MESSAGES = production.trace(Path(__file__).parent / "traces" / "production.txt")
+SMALL = tightest(StateLimits(200.0, 80.0, 8.0, 24, NextLimits(56.0, 2.0, 8)))
+
+
+class Stored:
+    """The trace in a replica, and changes written to it as the state service would."""
+
+    def __init__(self) -> None:
+        self.replica = Replica()
+        items = [m.Entry(key, msgspec.Raw(value), 1) for key, value in RECORDS.items()]
+        self.replica.load(items)
+        self.replica.end_load(1)
+        self.written: dict[str, bytes] = {}
+
+    def change(self, job: str, *mutators: object) -> Draft:
+        draft = Draft(self.replica.jobs[job], self.replica, SMALL, 1.7e9 + 80)
+        for mutate in mutators:
+            mutate(draft)  # type: ignore[operator]
+        draft.finish()
+        encoded = {k: msgspec.json.encode(v) for k, v in draft.puts.items()}
+        SMALL.check(draft.conditions, encoded, draft.deletes)
+        self.written |= encoded
+        self.replica.committed(encoded, draft.deletes, self.replica.revision + 1)
+        self.replica.revision += 1
+        return draft
+
+
+def exit_of(job: str, index: int, task: r.Task, outcome: str = "lost") -> object:
+    gone = Exit(job, index, task.attempt, task.machine, outcome, "its machine is gone")
+    return lambda draft: apply_exit(draft, gone)
+
+
+def test_what_production_wrote_is_read_in_full() -> None:
+    replica = Stored().replica
+    assert {j for j, job in replica.jobs.items() if job.is_ready} == {
+        "j-1", "j-2", "j-3", "j-4", "j-6", "j-7", "j-10", "j-11"
+    }  # fmt: skip
+    assert replica.jobs["j-5"].is_over and not replica.jobs["j-5"].is_cancelled
+    assert replica.jobs["j-8"].is_cancelled and replica.jobs["j-8"].bound == 1
+    assert replica.jobs["j-1"].since == replica.jobs["j-1"].record.at  # type: ignore[union-attr]
+    assert replica.rentals["winch-0-ac41130f570e-9"].record.count == 23
+    assert replica.machines["vm-000016"].record.state == "boot"
+    assert list(replica.types) == ["t4"] and replica.view.epoch == 3
+    assert replica.formats["winch-0"] == 0 and replica.software == {}
+
+
+@pytest.mark.parametrize(
+    ("name", "unpack", "pack"),
+    [
+        ("BEAT", membership_messages.unpack_beat, membership_messages.pack_beat),
+        ("ASK", credit_messages.unpack_ask, credit_messages.pack_ask),
+        ("HOLD", credit_messages.unpack_hold, credit_messages.pack_hold),
+        ("FREE", credit_messages.unpack_free, credit_messages.pack_free),
+        ("IMAGES", credit_messages.unpack_cached, credit_messages.pack_cached),
+    ],
+)
+def test_sibling_messages_are_the_same_bytes_in_both_versions(
+    name: str, unpack: object, pack: object
+) -> None:
+    assert pack(unpack(MESSAGES[name])) == MESSAGES[name]  # type: ignore[operator]
+
+
+def test_a_siblings_greeting_is_read() -> None:
+    assert Unpacker(MESSAGES["HELLO"]).text() == "winch-1"
+
+
+def test_production_reads_what_this_version_writes() -> None:
+    stored = Stored()
+    for job in list(stored.replica.open_jobs):
+        for index, task in stored.replica.jobs[job].bindings()[:3]:
+            stored.change(job, lambda d, i=index, t=task: apply_stop(d, i, t.attempt, "notice"))
+            stored.change(job, exit_of(job, index, task, "done"))
+    spec = msgspec.structs.replace(stored.replica.jobs["j-1"].spec, waits_on=["j-5"])
+    added = {
+        "p/j/j-20": r.JobRecord("open", spec.tasks, 9.0, spec),
+        "p/j/j-21": r.JobRecord("done", 1, 9.0, None, 12.0),
+        "p/n/winch-0": r.Member("0123456789ab", c.FORMAT),
+        "p/s/winch-0": r.Software(c.FORMAT, "0.2.0"),
+        "p/t/0001": stored.replica.catalog,
+    }
+    stored.written |= {k: msgspec.json.encode(v) for k, v in added.items()}
+    assert len(stored.written) > 12
+    for key, value in stored.written.items():
+        production.reads(key, value)
+    waits = production.reads("p/j/j-20", stored.written["p/j/j-20"])
+    # It would drop what it does not know, which is why none is accepted before all are new.
+    assert b"waits_on" not in msgspec.json.encode(waits)
+    assert production.reads("p/t/0001", stored.written["p/t/0001"]) is None
+
+
+def test_full_chunks_with_reasons_shrink_with_their_next_write() -> None:
+    key = "p/c/j-10/0000"
+    assert len(RECORDS[key]) > 3_500
+    stored = Stored()
+    index, task = stored.replica.jobs["j-10"].bindings()[5]
+    stored.change("j-10", exit_of("j-10", index, task))
+    assert len(stored.written[key]) <= c.CHUNK_B
+    tasks = stored.replica.jobs["j-10"].chunks[0].tasks
+    assert shown(tasks[0].why) == "made room for work of production priority"
+    assert shown(tasks[0].stop) == "the cloud takes its spot machine back"
+    assert tasks[5].machine == "" and shown(tasks[5].why) == "its machine is gone"
+    assert sum(bool(t.machine) for t in tasks) == 31
+
+
+def test_a_full_chunk_fits_whatever_is_in_it() -> None:
+    machine, reason = "x" * c.MACHINE_CHARS, max(CODES, key=len)
+    full = r.Task(machine, c.MAX_ATTEMPT, False, c.MAX_FAILS, reason, reason)
+    size = len(msgspec.json.encode([full] * c.CHUNK_TASKS))
+    assert size <= c.CHUNK_B <= int(c.MIN_VALUE_KB * 1024) - c.VALUE_SPARE_B
+    rng = random.Random(4)
+    for _ in range(200):
+        text = "".join(rng.choice("made rofplcen()'\"\\\n\x00é") for _ in range(rng.randrange(60)))
+        assert short(short(text)) == short(text) and short(text) in CODES | {""}
+
+
+def test_reasons_read_the_same_after_they_were_shortened() -> None:
+    assert all(short(shown(code)) == code for code in CODES)
+    assert shown(short("made room for j-0123456 (high priority)")).endswith("of high priority")
+    assert shown("a sentence of production's") == "a sentence of production's"
+
+
+def test_a_description_from_larger_times_ends_and_moves_its_mark() -> None:
+    stored = Stored()
+    assert len(RECORDS["p/j/j-11"]) > SMALL.value_b
+    draft = Draft(stored.replica.jobs["j-11"], stored.replica, SMALL, 0.0)
+    draft.touch()
+    assert list(draft.puts) == [r.VIEW]  # its mark is a condition of every commit
+
+    def cancel(draft: Draft) -> None:
+        draft.status = "cancelled"
+
+    stored.change("j-11", cancel)
+    job = stored.replica.jobs["j-11"]
+    assert job.is_cancelled and job.bound == 2 and len(stored.written["p/j/j-11"]) < SMALL.value_b
+    assert stored.replica.usage()["core"][1] >= 2.0
+    for index, task in job.bindings():
+        stored.change("j-11", exit_of("j-11", index, task))
+    assert job.record == r.JobRecord("cancelled", 2, 1700000006.0, None, 1.7e9 + 80)
+
+
+def test_a_change_that_never_fits_is_never_sent() -> None:
+    limits = Limits(100, 4)
+    limits.check({"p/view": 1}, {"p/a": b"x" * 100}, ["p/b", "p/c", "p/d"])
+    with pytest.raises(TooLarge, match="p/a takes 101 B"):
+        limits.check({}, {"p/a": b"x" * 101}, [])
+    with pytest.raises(TooLarge, match="5 changes of 4"):
+        limits.check({}, {}, [f"p/{i}" for i in range(5)])
+    with pytest.raises(TooLarge, match="17 conditions"):
+        limits.check({f"p/{i}": 1 for i in range(17)}, {}, ["p/a"])
+
+
+def test_the_tighter_of_present_and_announced_limits_holds() -> None:
+    assert (SMALL.value_b, SMALL.ops) == (2 * 1024 - c.VALUE_SPARE_B, 8)
+    assert tightest(StateLimits(1.0, 1.0, 8.0, 24)) == Limits(8 * 1024 - c.VALUE_SPARE_B, 24)
+    larger = StateLimits(1.0, 1.0, 8.0, 24, NextLimits(None, 16.0, None))
+    assert tightest(larger) == tightest(StateLimits(1.0, 1.0, 8.0, 24))
+
+
+def test_many_machine_types_take_several_values() -> None:
+    names = [f"{'t' * 80}-{i}" for i in range(30)]
+    types = [r.MachineType(n, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, ["east"]) for n in names]
+    huge = r.MachineType("h" * 3000, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, 1.0, ["east"])
+    parts = plan.split_catalog(r.Catalog([*types, huge]), SMALL)
+    assert 1 < len(parts) <= SMALL.ops
+    encoded = {r.types_key(k) if k else r.CATALOG: part for k, part in enumerate(parts)}
+    replica = Replica()
+    replica.load([m.Entry(k, msgspec.Raw(msgspec.json.encode(v)), 1) for k, v in encoded.items()])
+    assert sorted(replica.types) == sorted(names)
+    assert all(SMALL.fits(msgspec.json.encode(part)) for part in parts)
