--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -390,11 +390,13 @@
         return []
 
     def _worth_room(self, ask: Ask) -> bool:
-        if ask.priority < c.ROOM_BELOW:
+        job = self._replica.jobs.get(ask.job)
+        spec = job.record.spec if job is not None and job.record is not None else None
+        # A priority lent by a later job brings it to the front, but saves that job no fetch.
+        if spec is None or spec.priority < c.ROOM_BELOW:
             return False
-        spec = self._replica.jobs[ask.job].spec if ask.job in self._replica.jobs else None
         rates = [t.fetch_gb_per_s for t in self._replica.types.values()]
-        return spec is not None and spec.image_gb > c.WORTH_FETCH_S * max(rates, default=1.0)
+        return spec.image_gb > c.WORTH_FETCH_S * max(rates, default=1.0)
 
     def _hold(self, waiting: Waiting, credit: Credit, now: float) -> None:
         ask = waiting.ask
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -139,13 +139,14 @@
             if await self._store.commit(conditions, {key: record}):
                 self._metrics.accepted.inc()
                 log.info(
-                    "job %s accepted: %s of %d, class %s, team %s, %s priority%s",
+                    "job %s accepted: %s of %d, class %s, team %s, %s priority%s%s",
                     spec.id,
                     spec.kind,
                     spec.tasks,
                     spec.klass,
                     spec.team,
                     r.PRIORITIES[spec.priority],
+                    f", due in {spec.deadline_s:.0f} s" if spec.deadline_s else "",
                     f", waits on {' '.join(spec.waits_on[:5])}" if spec.waits_on else "",
                 )
                 return answer(201, m.State(spec.id, "queued"))
