--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -108,6 +108,7 @@
 SWEEPS_AT_ONCE = 8  # jobs cleaned up at once: ends and bindings keep most of the write rate
 CHAIN_WORK = -1.0  # stands for the waiting work of a job in a pipeline: short ones go first
 CHAIN_SMALL_S = 200.0  # task seconds of a pipeline's job that hold up nobody
+CHAIN_STOP_S = 30.0  # a lent priority stops others when a start is needed this soon
 NAMED_IN_NOTE = 5  # jobs that a waiting job's note names; the rest are counted
 ZONE_TRY_S = 4.0  # how long a gang gathers in one zone before it tries the next
 
--- a/pulleydeal/placement/rules.py
+++ b/pulleydeal/placement/rules.py
@@ -92,8 +92,8 @@
             missed += wall + spec.estimate_s > latest
     left = (spec.tasks - job.done - job.bound) * (spec.estimate_s or 1.0)
     if job.chained:
-        # One that is late anyway lets others go first, unless it is so small that they lose nothing:
-        # gangs of two waited 38 s behind arrays of hundreds that later pipelines had brought.
+        # One that is late anyway lets others go first, unless it is so small that they lose
+        # nothing: gangs of two waited 38 s behind arrays that later pipelines had brought.
         late = missed + (wall > starts_by(job)) if left > c.CHAIN_SMALL_S else 0
         return late, c.CHAIN_WORK
     return missed, 0.0 if spec.kind == "gang" else left
