Lets writers through in turn, and gathers a job's changes until its turn comes

Writers polled the budget, so whoever needed several changes at once never found enough, and what a transaction held was fixed before it waited.

Change: writers wait in turn (users and membership first, then bindings, ends and stops, then what nobody waits for), and what to write is worked out when the turn comes.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -40,6 +40,9 @@
 REFUSED_WRITES = 3  # so many 429 within REFUSED_WRITES_S: the lower, announced rate has come
 REFUSED_WRITES_S = 5.0  # a burst of our own is over within a second
 WRITE_SHARE = 0.9  # part of the write rate we use: bursts of others are not known to us
+WRITE_PATIENCE_S = 5.0  # a write that nobody waits for has its turn after this
+WRITE_LOOK_MIN_S = 0.005  # shorter sleeps cost more than they gain
+WRITE_LOOK_S = 0.05  # while the rate is used up: how often is looked who goes first
 LEND_KEEP = 0.25  # part of its share that a quiet node keeps: it can start at once
 LEND_GROWTH = 1.25  # what a node may write more than it last said before others notice
 
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
@@ -384,7 +384,8 @@
         if credit is not None:
             self._hold(waiting, credit, now)
         elif may_stop:
-            chosen = choose_victims(credits, ask, over, ready=False, below=self._may_stop(ask))
+            asked = self._stopping(ask)
+            chosen = choose_victims(credits, asked, over, ready=False, below=len(r.PRIORITIES))
             if chosen is not None:
                 return self._reserve(ask, *chosen, now)
         return []
@@ -398,8 +399,8 @@
         rates = [t.fetch_gb_per_s for t in self._replica.types.values()]
         return spec.image_gb > c.WORTH_FETCH_S * max(rates, default=1.0)
 
-    def _may_stop(self, ask: Ask) -> int:
-        """Work below which priority may be stopped for it.
+    def _stopping(self, ask: Ask) -> Ask:
+        """The ask with the priority that may stop others.
 
         A lent priority stops others only once the deadline that it was lent for is near: the
         stages before have time, and what they stop has lost its work.
@@ -407,9 +408,9 @@
         job = self._replica.jobs.get(ask.job)
         spec = job.record.spec if job is not None and job.record is not None else None
         if job is None or spec is None or spec.priority >= ask.priority:
-            return len(r.PRIORITIES)
+            return ask
         near = job.due - job.estimate_s - self._clock.wall() < c.CHAIN_STOP_S
-        return ask.priority if near else spec.priority
+        return ask if near else replace(ask, priority=spec.priority)
 
     def _hold(self, waiting: Waiting, credit: Credit, now: float) -> None:
         ask = waiting.ask
--- a/pulleydeal/fleet/cloud.py
+++ b/pulleydeal/fleet/cloud.py
@@ -6,7 +6,7 @@
 from pulleydeal.clock import Clock
 from pulleydeal.fleet import messages as m
 from pulleydeal.http import Client, NoAnswer
-from pulleydeal.store.client import Rate
+from pulleydeal.store.rate import Rate
 from pulleydeal.store.records import MachineType
 
 
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -13,6 +13,7 @@
 from pulleydeal.membership.service import Membership
 from pulleydeal.settings import Objective, StateLimits, Team
 from pulleydeal.store import records as r
+from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Machine
 from pulleydeal.store.service import Store
 
@@ -237,7 +238,7 @@
         def drain(old: r.MachineRecord) -> r.MachineRecord:
             return msgspec.structs.replace(old, state="drain", why=why, at=wall)
 
-        for machine in await self._rewrite(machines, drain, urgent=False):
+        for machine in await self._rewrite(machines, drain, turn=Turn.LATER):
             log.info("machine %s is to go: %s", machine.id, why)
 
     # --- returning ------------------------------------------------------------------------
@@ -274,14 +275,14 @@
             for machine in map(self._replica.machines.get, machines)
             if machine is not None and machine.record.state != "gone"
         ]:
-            for machine in await self._rewrite(left, gone, urgent=True):
+            for machine in await self._rewrite(left, gone, turn=Turn.FIRST):
                 log.info("machine %s given back (%s)", machine.id, machine.record.why)
 
     async def _rewrite(
         self,
         machines: list[Machine],
         change: Callable[[r.MachineRecord], r.MachineRecord | None],
-        urgent: bool,
+        turn: Turn,
     ) -> list[Machine]:
         """Changes records (None: drops them), many in one transaction; tells which it did."""
         written = []
@@ -292,11 +293,11 @@
             new = {r.machine_key(m.id): change(m.record) for m in batch}
             puts: dict[str, object] = {k: v for k, v in new.items() if v is not None}
             drops = [k for k, v in new.items() if v is None]
-            if await self._store.commit(conditions, puts, drops, urgent=urgent):
+            if await self._store.commit(conditions, puts, drops, turn=turn):
                 written += batch
             elif len(batch) > 1:
                 for machine in batch:  # one of them moved: the others need not wait for it
-                    written += await self._rewrite([machine], change, urgent)
+                    written += await self._rewrite([machine], change, turn)
         return written
 
     async def _mark_unneeded(self) -> None:
@@ -340,4 +341,4 @@
             and wall - machine.record.at > c.GONE_KEEP_S
             and not self._replica.bound.get(machine.id)
         ]
-        await self._rewrite(old, lambda record: None, urgent=False)
+        await self._rewrite(old, lambda record: None, turn=Turn.LATER)
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -21,6 +21,7 @@
 from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
 from pulleydeal.store.job import Job
+from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Replica
 from pulleydeal.store.service import Store
 from pulleydeal.workers.service import apply_exit
@@ -177,7 +178,7 @@
                 proof = Exit(job_id, index, task.attempt, machine, "lost", why)
                 log.info("task %s attempt %d: machine %s is gone", key, task.attempt, machine)
                 future = self._store.change_job(
-                    job_id, partial(apply_exit, gone=proof), urgent=True
+                    job_id, partial(apply_exit, gone=proof), turn=Turn.WORK
                 )
                 future.add_done_callback(partial(self._cleared, key))
 
@@ -185,7 +186,7 @@
         """What a large job left behind is removed bit by bit, until one slim record stays."""
         if job.id not in self._clearing:
             self._clearing.add(job.id)
-            future = self._store.change_job(job.id, lambda draft: None, urgent=False)
+            future = self._store.change_job(job.id, lambda draft: None, turn=Turn.LATER)
             future.add_done_callback(partial(self._cleared, job.id))
 
     def _cleared(self, key: str, _: "asyncio.Future[bool]") -> None:
@@ -378,7 +379,7 @@
             if self._clock.now() < until:
                 self._apply_binding(draft, machines)
 
-        future = self._store.change_job(job.id, mutate, urgent=True)
+        future = self._store.change_job(job.id, mutate, turn=Turn.WORK)
         future.add_done_callback(lambda _: self._bound(job.id, keys, machines))
 
     def _apply_binding(self, draft: Draft, machines: dict[int, str]) -> None:
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -10,6 +10,7 @@
 from pulleydeal.http import Client, NoAnswer
 from pulleydeal.settings import StateLimits
 from pulleydeal.store import messages as m
+from pulleydeal.store.rate import Rate, Turn, Turnstile
 from pulleydeal.store.records import NOTHING
 
 log = logging.getLogger("pulleydeal.store")
@@ -35,30 +36,6 @@
     """The watch can't continue from there; everything must be read again."""
 
 
-class Rate:
-    """A token bucket for one kind of budget; urgent callers may overdraw a little."""
-
-    def __init__(self, per_s: float, clock: Clock) -> None:
-        self._per_s = per_s
-        self._clock = clock
-        self._have = per_s
-        self._at = clock.now()
-
-    def set(self, per_s: float) -> None:
-        self._per_s = per_s
-
-    def take(self, amount: float, urgent: bool) -> float:
-        """Takes `amount` and returns 0, or takes nothing and returns how long to wait."""
-        now = self._clock.now()
-        self._have = min(self._per_s, self._have + (now - self._at) * self._per_s)
-        self._at = now
-        floor = -self._per_s / 2 if urgent else 0.0
-        if self._have - amount >= floor or self._have >= self._per_s:
-            self._have -= amount
-            return 0.0
-        return max(0.005, (floor + amount - self._have) / self._per_s)
-
-
 class StateClient:
     def __init__(self, address: str, clock: Clock, limits: StateLimits, nodes: int) -> None:
         self._http = Client(address, clock)
@@ -69,6 +46,7 @@
         self._refused_at: deque[float] = deque(maxlen=c.REFUSED_WRITES)
         self._nodes = nodes
         self._writes = Rate(self._write_rps / nodes, clock)
+        self._turnstile = Turnstile(self._writes, clock)
         self.requests = 0
         self.written = 0
         self.refusals = 0
@@ -92,9 +70,8 @@
         path: str,
         body: object = None,
         timeout: float = c.STATE_TIMEOUT_S,
-        urgent: bool = True,
     ) -> tuple[int, bytes]:
-        while (pause := self._requests.take(1, urgent)) > 0:
+        while (pause := self._requests.take(1, urgent=True)) > 0:
             await asyncio.sleep(pause)
         self.requests += 1
         try:
@@ -150,14 +127,18 @@
             raise Unavailable(f"GET {path}: {status}")
         return m.CHANGES.decode(reply)
 
+    async def may_write(self, turn: Turn) -> None:
+        """Returns when a commit may be made; the caller makes it before it awaits anything else."""
+        await self._turnstile.wait(turn)
+
     async def commit(
-        self, conditions: dict[str, int], changes: list[dict[str, Any]], urgent: bool
+        self, conditions: dict[str, int], changes: list[dict[str, Any]]
     ) -> tuple[bool, m.Revision]:
-        while (pause := self._writes.take(len(changes), urgent)) > 0:
-            await asyncio.sleep(pause)
+        """One transaction, by whose turn it is (`may_write`)."""
+        self._writes.spend(len(changes))
         self.written += len(changes)
         body = m.transaction(conditions, changes)
-        status, reply = await self._call("POST", "/commit", body, urgent=urgent)
+        status, reply = await self._call("POST", "/commit", body)
         if status == 429:
             self._note_refused_write()
             raise Unavailable("POST /commit: 429")
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -22,10 +22,12 @@
 )
 from pulleydeal.store.draft import Draft
 from pulleydeal.store.limits import Limits, TooLarge
+from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Replica
 
 log = logging.getLogger("pulleydeal.store")
 Mutator = Callable[[Draft], None]
+Change = tuple[Mutator, Turn, asyncio.Future[bool]]
 
 
 class Backoff:
@@ -57,8 +59,8 @@
         self.limits = limits
         self.known_at = -1e9  # when the replica was last proved to be current
         self._barrier: asyncio.Future[int] | None = None
-        self._pending: dict[str, list[tuple[Mutator, bool, asyncio.Future[bool]]]] = {}
-        self._draining: dict[str, asyncio.Task[None]] = {}
+        self._pending: dict[str, list[Change]] = {}
+        self._draining: dict[tuple[str, bool], asyncio.Task[None]] = {}
 
     # --- watching -----------------------------------------------------------------------
     async def follow(self) -> None:
@@ -123,11 +125,11 @@
         puts: dict[str, object],
         deletes: list[str] | None = None,
         lease: dict[str, int] | None = None,
-        urgent: bool = True,
+        turn: Turn | None = Turn.FIRST,
     ) -> bool:
         """One transaction. True: done and shown in the replica. False: a condition failed,
         and the replica is as new as that. Raises Unavailable, Unknown, LeaseLost, or TooLarge
-        for what the state service would never take."""
+        for what the state service would never take. `turn`: None when it is the caller's."""
         encoded = {key: msgspec.json.encode(value) for key, value in puts.items()}
         self.limits.check(conditions, encoded, deletes or [])
         leases = lease or {}
@@ -135,7 +137,9 @@
             m.put(key, msgspec.Raw(value), leases.get(key)) for key, value in encoded.items()
         ]
         changes += [m.delete(key) for key in deletes or []]
-        ok, outcome = await self.client.commit(conditions, changes, urgent)
+        if turn is not None:
+            await self.client.may_write(turn)
+        ok, outcome = await self.client.commit(conditions, changes)
         if ok and r.VIEW not in puts:
             self.replica.committed(encoded, deletes or [], outcome.revision)
         else:
@@ -145,22 +149,27 @@
                 await self.replica.reach(outcome.revision)
         return ok
 
-    def change_job(self, job: str, mutate: Mutator, urgent: bool) -> asyncio.Future[bool]:
-        """Queues a change of a job. Changes queued meanwhile go into one transaction.
+    def change_job(self, job: str, mutate: Mutator, turn: Turn) -> asyncio.Future[bool]:
+        """Queues a change of a job. All that gather until its turn go into one transaction.
 
         The change is a function of the newest record, so it may run several times. The
         future tells whether the batch was written.
         """
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self._pending.setdefault(job, []).append((mutate, urgent, future))
-        if job not in self._draining:
-            self._draining[job] = asyncio.ensure_future(self._drain(job))
+        self._pending.setdefault(job, []).append((mutate, turn, future))
+        # What a user waits for does not stand behind changes that already wait for their turn:
+        # whichever comes first takes all along.
+        way = (job, turn is Turn.FIRST)
+        if way not in self._draining:
+            self._draining[way] = asyncio.ensure_future(self._drain(way))
         return future
 
-    async def _drain(self, job_id: str) -> None:
+    async def _drain(self, way: tuple[str, bool]) -> None:
+        job_id, _ = way
         await asyncio.sleep(0)  # let this moment's changes gather
         try:
-            while batch := self._pending.pop(job_id, []):
+            while job_id in self._pending:
+                batch: list[Change] = []
                 ok = False
                 try:
                     ok = await self._write(job_id, batch)
@@ -170,16 +179,19 @@
                     if not future.done():
                         future.set_result(ok)
         finally:
-            self._draining.pop(job_id, None)
+            self._draining.pop(way, None)
 
-    async def _write(
-        self, job_id: str, batch: list[tuple[Mutator, bool, asyncio.Future[bool]]]
-    ) -> bool:
+    async def _write(self, job_id: str, batch: list[Change]) -> bool:
+        """Writes what is pending for a job, also what is added while it waits for its turn."""
         backoff = Backoff(self._rng)
-        urgent = any(is_urgent for _, is_urgent, _ in batch)
         unsure = False
         for _ in range(c.SCRATCH_TRIES):
             while True:
+                queued = self._pending.get(job_id, [])
+                await self.client.may_write(min(turn for _, turn, _ in [*batch, *queued]))
+                batch += self._pending.pop(job_id, [])
+                if not batch:
+                    return True
                 job = self.replica.jobs.get(job_id)
                 if job is None or job.spec is None:
                     return False
@@ -194,9 +206,7 @@
                 if not draft.puts and not draft.deletes:
                     return True
                 try:
-                    ok = await self.commit(
-                        draft.conditions, draft.puts, draft.deletes, urgent=urgent
-                    )
+                    ok = await self.commit(draft.conditions, draft.puts, draft.deletes, turn=None)
                     break
                 except (Unavailable, TimeoutError) as error:
                     log.debug("commit of %s: %s", job_id, error)
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -20,6 +20,7 @@
 from pulleydeal.store.client import Unavailable, Unknown
 from pulleydeal.store.draft import Draft
 from pulleydeal.store.job import Job
+from pulleydeal.store.rate import Turn
 from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
 from pulleydeal.submissions import messages as m
@@ -239,7 +240,7 @@
         if job is None or job.record is None:
             return answer(404, {"error": "no such job"})
         if job.is_open:
-            await asyncio.shield(self._store.change_job(job_id, _cancel, urgent=True))
+            await asyncio.shield(self._store.change_job(job_id, _cancel, turn=Turn.FIRST))
             log.info("job %s: cancel asked by its user", job_id)
         if not _is_final(job):
             return answer(503, {"error": "try again"}, c.RETRY_AFTER_S)
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -18,6 +18,7 @@
 from pulleydeal.settings import WorkerTimes
 from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
+from pulleydeal.store.rate import Turn
 from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
 from pulleydeal.workers import messages as m
@@ -326,7 +327,9 @@
             shown(gone.detail),
         )
         self._metrics.stops.labels(gone.outcome).inc()
-        future = self._store.change_job(gone.job, partial(self._prove, station, gone), urgent=True)
+        future = self._store.change_job(
+            gone.job, partial(self._prove, station, gone), turn=Turn.WORK
+        )
         future.add_done_callback(lambda _: self._exits.discard(start))
 
     def _prove(self, station: Station, gone: Exit, draft: Draft) -> None:
@@ -516,7 +519,7 @@
     def stop(self, job_id: str, index: int, attempt: int, why: str) -> None:
         """Stops a task in good order, and with it its gang; the reason is durable."""
         self._store.change_job(
-            job_id, partial(apply_stop, index=index, attempt=attempt, why=why), urgent=True
+            job_id, partial(apply_stop, index=index, attempt=attempt, why=why), turn=Turn.WORK
         )
 
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -130,7 +130,10 @@
         "belay_s": 5.0,
         "stow_s": 1.0,
     }
-    (folder / "jobs" / "j-1.json").write_text(json.dumps(job, indent=2))
+    waiting = {"j-1": [], "j-2": ["j-1"], "j-3": ["j-1", "j-2"]}
+    for name, needed in waiting.items():
+        body = job | {"name_id": name, "waits_on": needed}
+        (folder / "jobs" / f"{name}.json").write_text(json.dumps(body, indent=2))
     try:
         asyncio.run(run(folder))
     except KeyboardInterrupt:
