--- /dev/null
+++ b/tests/test_rate.py
@@ -0,0 +1,95 @@
+"""Whose writes go first, and that none starves, by a virtual clock."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import pytest
+
+from pulleydeal import constants as c
+from pulleydeal.settings import NextLimits, StateLimits
+from pulleydeal.store.client import StateClient
+from pulleydeal.store.rate import Rate, Turn, Turnstile
+from standins.net import Network, VirtualLoop
+from standins.scenario import LoopClock
+
+
+def play(work: Any) -> None:
+    loop = VirtualLoop(Network(1))
+    asyncio.set_event_loop(loop)
+    try:
+        coroutine: Coroutine[Any, Any, None] = work(LoopClock(loop))
+        loop.run_until_complete(coroutine)
+    finally:
+        asyncio.set_event_loop(None)
+
+
+def test_a_large_write_has_its_turn_among_many_small_ones() -> None:
+    order: list[str] = []
+
+    async def work(clock: LoopClock) -> None:
+        rate = Rate(10.0, clock)
+        turnstile = Turnstile(rate, clock)
+
+        async def write(name: str, changes: int) -> None:
+            await turnstile.wait(Turn.WORK)
+            rate.spend(changes)
+            order.append(name)
+
+        rate.spend(10)
+        small = [write(f"small {i}", 1) for i in range(20)]
+        await asyncio.gather(*small[:3], write("large", 8), *small[3:])
+        assert order.index("large") == 3
+        assert clock.now() == pytest.approx(2.8, abs=0.3)  # 28 changes at 10 a second
+
+    play(work)
+
+
+def test_users_go_first_and_what_nobody_waits_for_still_has_its_turn() -> None:
+    order: list[str] = []
+
+    async def work(clock: LoopClock) -> None:
+        rate = Rate(4.0, clock)
+        turnstile = Turnstile(rate, clock)
+
+        async def write(name: str, turn: Turn) -> None:
+            await turnstile.wait(turn)
+            rate.spend(1)
+            order.append(name)
+
+        rate.spend(4)
+        works = [write(f"work {i}", Turn.WORK) for i in range(60)]
+        waiting = asyncio.gather(write("sweep", Turn.LATER), *works)
+        await asyncio.sleep(1.1)
+        await write("user", Turn.FIRST)
+        assert len(order) <= 6 and order[-1] == "user"
+        await waiting
+        assert 0 < order.index("sweep") < c.WRITE_PATIENCE_S * 4 + 4
+
+    play(work)
+
+
+def test_the_announced_rate_is_taken_up_once_writes_are_refused() -> None:
+    class Clock:
+        at = 0.0
+
+        def now(self) -> float:
+            return self.at
+
+        wall = now
+
+    clock = Clock()
+    limits = StateLimits(200.0, 90.0, 8.0, 24, NextLimits(45.0, None, None))
+    client = StateClient("127.0.0.1:1", clock, limits, 3)
+    for _ in range(c.REFUSED_WRITES * 3):
+        client._note_refused_write()
+        clock.at += c.REFUSED_WRITES_S  # a burst of one's own now and then
+    assert client._write_rps == pytest.approx(90.0 * c.WRITE_SHARE)
+    for _ in range(c.REFUSED_WRITES):
+        clock.at += 0.2
+        client._note_refused_write()
+    assert client._write_rps == pytest.approx(45.0 * c.WRITE_SHARE)
+    without = StateClient("127.0.0.1:1", clock, StateLimits(200.0, 90.0, 8.0, 24), 3)
+    for _ in range(c.REFUSED_WRITES):
+        without._note_refused_write()
+    assert without._write_rps == pytest.approx(90.0 * c.WRITE_SHARE)
