--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -37,7 +37,7 @@
         self.replica = Replica()
         self.store = Store(self.client, self.replica, clock, rng, tightest(limits))
         self.siblings = Siblings(settings, clock)
-        self.membership = Membership(settings, self.store, self.siblings, clock)
+        self.membership = Membership(settings, self.store, self.siblings, clock, rng)
         self.workers = Workers(self.membership, self.store, deployment.workers, clock, self.metrics)
         teams, zones = settings.teams, deployment.zones
         self.credits = Credits(
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-import uuid
+import random
 from collections.abc import Callable
 
 from pulleydeal import __version__
@@ -21,14 +21,21 @@
 
 
 class Membership:
-    def __init__(self, settings: Settings, store: Store, siblings: Siblings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        store: Store,
+        siblings: Siblings,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
         self.me = settings.node_name
         self._settings = settings
         self._store = store
         self._replica: Replica = store.replica
         self._siblings = siblings
         self._clock = clock
-        self.incarnation = uuid.uuid4().hex[:12]
+        self.incarnation = f"{rng.getrandbits(48):012x}"
         self._lease: int | None = None
         self._renewed_at = -1e9
         self._beats: dict[str, tuple[float, Beat]] = {}
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -100,8 +100,12 @@
         mine = [j for j in jobs if j.spec is not None and self._membership.leads_job(j.spec)]
         self._release_gone()
         for job in mine:
-            if not job.is_open and not job.bound and len(self._clearing) < c.SWEEPS_AT_ONCE:
-                self._sweep(job)
+            if job.is_open and job.spec is not None and job.done >= job.spec.tasks:
+                # Two owners that each wrote the last end of a chunk at the same moment: neither
+                # saw that all are done, and the job stayed open, and what waits on it too.
+                self._sweep(job, Turn.WORK)
+            elif not job.is_open and not job.bound and len(self._clearing) < c.SWEEPS_AT_ONCE:
+                self._sweep(job, Turn.LATER)
         self._forget(now)
         self._reasons = {}
         if self._inside_at != self._replica.open_changes:
@@ -182,11 +186,12 @@
                 )
                 future.add_done_callback(partial(self._cleared, key))
 
-    def _sweep(self, job: Job) -> None:
-        """What a large job left behind is removed bit by bit, until one slim record stays."""
+    def _sweep(self, job: Job, turn: Turn) -> None:
+        """Writes what follows from what is known already: that a job is done or cancelled, and
+        what a large one left behind goes bit by bit, until one slim record stays."""
         if job.id not in self._clearing:
             self._clearing.add(job.id)
-            future = self._store.change_job(job.id, lambda draft: None, turn=Turn.LATER)
+            future = self._store.change_job(job.id, lambda draft: None, turn)
             future.add_done_callback(partial(self._cleared, job.id))
 
     def _cleared(self, key: str, _: "asyncio.Future[bool]") -> None:
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -91,9 +91,18 @@
         return answer(200, {"blocks": names})
 
     def add(self, type_: str, yard: str, loaners: bool) -> str:
-        self._serial += 1
-        block = f"vm-{self._serial:06d}"
-        kind = self._types[type_]
+        block = f"vm-{self._serial + 1:06d}"
+        self._put(block, type_, yard, loaners)
+        asyncio.get_running_loop().call_later(self._types[type_]["ready_s"], self._boot, block)
+        return block
+
+    def place(self, block: str, type_: str, yard: str, loaners: bool) -> None:
+        """A machine that is up already."""
+        self._put(block, type_, yard, loaners)
+        self._boot(block)
+
+    def _put(self, block: str, type_: str, yard: str, loaners: bool) -> None:
+        self._serial = max(self._serial, int(block.rpartition("-")[2]))
         self.blocks[block] = {
             "name_id": block,
             "addr": "",
@@ -103,8 +112,6 @@
             "tension": "starting",
             "_since": self._clock.now(),
         }
-        asyncio.get_running_loop().call_later(kind["ready_s"], self._boot, block)
-        return block
 
     def _boot(self, block: str) -> None:
         entry = self.blocks.get(block)
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -109,6 +109,12 @@
             # Submitted after the cancellation was told: its own time begins with its acceptance.
             self._cancelled.setdefault(job, self._now())
 
+    def know(self, job: str, status: str) -> None:
+        """Told by nodes before this scenario began."""
+        self._told[job] = "queued" if status == "open" else status
+        if status == "cancelled":
+            self._cancelled[job] = self._now()
+
     def accepted(self, job: str) -> bool:
         return job in self._told
 
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -8,7 +8,8 @@
   cloud down|up       | cut ZONE ZONE | cut BLOCK | heal | lose SHARE
   die BLOCK | sick BLOCK | notice BLOCK SECONDS
   state limits VALUE_KB TXN_OPS WRITE_RPS        the state service's limits from now on
-  load FILE                                      records that another version left behind
+  load FILE   (only as the first event)          goes on from records that another version left
+                                                 behind; its machines are up, and their tasks lost
   capacity COUNT                                 machines to be had of each kind in each zone
   crowd JOB COUNT KIND TASKS RUN_S [name=value ...]   COUNT users submit at once, from JOB on
   expect JOB STATE [COUNT] | expect machines COUNT | expect starts COUNT | expect NODE UP
@@ -24,6 +25,7 @@
 import msgspec
 
 from pulleydeal.app import App
+from pulleydeal.constants import CHUNK_TASKS
 from pulleydeal.http import Client, NoAnswer
 from pulleydeal.settings import Settings
 from standins.cloud import CloudService
@@ -75,10 +77,42 @@
         self.failures: list[str] = []
 
     # --- the world ------------------------------------------------------------------------
-    def start(self) -> None:
+    def start(self, left_behind: dict[str, Any] | None = None) -> None:
         on_host(self._regional, self._start_regional())
+        if left_behind is not None:
+            self._loop.call_soon(self._go_on, left_behind)
         for name in self._nodes:
-            self._start_node(name)
+            self._loop.call_soon(self._start_node, name)
+
+    def _go_on(self, records: dict[str, Any]) -> None:
+        for key, data in records.items():
+            kind, _, name = key.removeprefix("p/").partition("/")
+            if kind == "n":
+                continue  # the leases of a version that has stopped are over
+            self.state.put(key, data)
+            if kind == "m" and data["state"] != "gone":
+                self.cloud.place(name, data["type"], data["zone"], data["spot"])
+            elif kind == "j":
+                self.rules.know(name, data["status"])
+                self.rules.uploads[name] = self._upload(name, data)
+                if data["status"] == "done":
+                    self._world.results |= {f"{name}/{i}" for i in range(data["tasks"])}
+            elif kind == "c":
+                self._world.results |= _done_in(name, data)
+
+    def _upload(self, job: str, record: dict[str, Any]) -> dict[str, Any]:
+        """What the user of a job that was left behind had submitted, as far as is known."""
+        spec = record.get("spec")
+        if spec is None:
+            return dict(self._submission(job, "batch", str(record["tasks"]), "20", []))
+        kind = {"array": "batch", "gang": "gang", "service": "standing"}[spec["kind"]]
+        more = {
+            "vcpus": spec["cpus"],
+            "accelerators": spec["gpus"],
+            "ram_gb": spec["memory"],
+            "tackle": spec["image"],
+        }
+        return self._submission(job, kind, str(spec["tasks"]), "20", []) | more
 
     async def _start_regional(self) -> None:
         self.state = StateService(self._seed)
@@ -318,17 +352,36 @@
     return [f"j-{start + i}" for i in range(int(count))]
 
 
+def _done_in(chunk: str, tasks: list[list[Any]]) -> set[str]:
+    job, _, index = chunk.partition("/")
+    first = int(index, 16) * CHUNK_TASKS
+    return {f"{job}/{first + i}" for i, task in enumerate(tasks) if len(task) > 2 and task[2]}
+
+
+def left_behind(path: Path) -> dict[str, Any]:
+    """The records of a kept trace; a line: key, then JSON."""
+    lines = [line.partition(" ") for line in path.read_text().splitlines()]
+    return {key: json.loads(value) for key, _, value in lines if key.startswith("p/")}
+
+
 def play(path: Path, seed: int) -> Scenario:
     """Plays a scenario file; the rules and expectations it broke are left in the result."""
     network = Network(seed)
     loop = VirtualLoop(network)
     asyncio.set_event_loop(loop)
     scenario = Scenario(loop, network, seed)
+    events = [line for line in path.read_text().splitlines() if line.partition("#")[0].strip()]
+    records = None
+    at, verb, *words = events[0].split()
+    if verb == "load":
+        records = left_behind(path.parent / words[0])
+        loop.clock = float(at)
+        del events[0]
 
     async def run() -> None:
-        scenario.start()
+        scenario.start(records)
         await asyncio.sleep(0.01)
-        await scenario.play(path.read_text())
+        await scenario.play("\n".join(events))
         await asyncio.sleep(3.0)
 
     try:
--- a/standins/state.py
+++ b/standins/state.py
@@ -45,6 +45,9 @@
         self.down = down
         self._wake()
 
+    def put(self, key: str, data: Any) -> None:
+        self._apply([{"set": key, "data": data}])
+
     def limit(self, value_kb: float, ops: int, write_rps: float | None) -> None:
         self._value_b, self._ops, self._write_rps = int(value_kb * 1024), ops, write_rps
         self._may_write, self._may_write_at = 0.0, asyncio.get_running_loop().time()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -143,6 +143,24 @@
     assert store.job.chunks == {} and store.replica.bound == {}
 
 
+def test_last_ends_written_at_the_same_moment_still_end_the_job() -> None:
+    store = Store(c.CHUNK_TASKS + 1)
+    store.change(*(bind(index) for index in range(c.CHUNK_TASKS + 1)))
+    store.change(*(ended(index, "done") for index in range(1, c.CHUNK_TASKS)))
+    drafts = [Draft(store.job, store.replica, LIMITS, 5.0) for _ in range(2)]
+    for draft, index in zip(drafts, (0, c.CHUNK_TASKS), strict=True):
+        ended(index, "done")(draft)  # type: ignore[operator]
+        draft.finish()
+    # Each is conditional on the job's mark and its own chunk's: both go through.
+    chunks = [{key for key in draft.conditions if key.startswith("p/c/")} for draft in drafts]
+    assert not chunks[0] & chunks[1]
+    for draft in drafts:
+        store.write(draft.puts, draft.deletes)
+    assert store.job.is_open and store.job.done == c.CHUNK_TASKS + 1
+    store.change()  # as the leader does when it sees that
+    assert store.job.record == r.JobRecord("done", c.CHUNK_TASKS + 1, ended=5.0)
+
+
 def counted_anew(replica: Replica) -> dict[str, tuple[float, float]]:
     used: dict[str, tuple[float, float]] = {}
     for on_machine in replica.bound.values():
