--- a/standins/net.py
+++ b/standins/net.py
@@ -21,8 +21,9 @@
         self.ip = ip
         self.zone = zone
         self.alive = True
-        self.tasks: set[asyncio.Task[Any]] = set()
-        self.pipes: set[Pipe] = set()
+        # In the order of their coming: the order in which they end is the same in every run.
+        self.tasks: dict[asyncio.Task[Any], None] = {}
+        self.pipes: dict[Pipe, None] = {}
 
 
 class _Timers:
@@ -73,8 +74,8 @@
     task = asyncio.Task(coro, loop=loop, context=context)
     host = HOST.get(None)
     if host is not None:
-        host.tasks.add(task)
-        task.add_done_callback(host.tasks.discard)
+        host.tasks[task] = None
+        task.add_done_callback(lambda ended: host.tasks.pop(ended, None))
     return task
 
 
@@ -161,7 +162,7 @@
         self.context = context
         self.closing = False
         self.next_at = 0.0
-        host.pipes.add(self)
+        host.pipes[self] = None
 
     def call(self, function: Callable[..., Any], *args: Any) -> None:
         if self.host.alive:
@@ -194,7 +195,7 @@
     def close(self) -> None:
         if not self.closing:
             self.closing = True
-            self.host.pipes.discard(self)
+            self.host.pipes.pop(self, None)
             if self.host.alive:
                 self.later(lambda: self.peer.ended(None))
                 self.call(self.protocol.connection_lost, None)
@@ -205,13 +206,13 @@
         """The process is killed: its kernel says goodbye if the network lets it."""
         if not self.closing:
             self.closing = True
-            self.host.pipes.discard(self)
+            self.host.pipes.pop(self, None)
             self.later(lambda: self.peer.ended(ConnectionResetError()))
 
     def ended(self, error: Exception | None) -> None:
         if not self.closing:
             self.closing = True
-            self.host.pipes.discard(self)
+            self.host.pipes.pop(self, None)
             self.call(self.protocol.connection_lost, error)
 
     def is_closing(self) -> bool:
