--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -15,6 +15,7 @@
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
 from pulleydeal.placement.service import Placement
+from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Settings
 from pulleydeal.store.client import StateClient
 from pulleydeal.store.limits import tightest
@@ -27,7 +28,14 @@
 
 
 class App:
-    def __init__(self, settings: Settings, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        rng: random.Random,
+        policy: Policy | None = None,
+    ) -> None:
+        policy = policy or Policy()
         deployment = settings.deployment
         nodes = 1 + len(settings.siblings)
         limits = deployment.state
@@ -58,6 +66,7 @@
             deployment.objectives,
             clock,
             self.metrics,
+            policy,
         )
         cloud = Cloud(settings.endpoints.cloud, clock, deployment.cloud.rps)
         self.fleet = Fleet(
@@ -69,6 +78,7 @@
             deployment.objectives,
             clock,
             limits,
+            policy,
         )
         self.submissions = Submissions(
             self.membership,
--- a/pulleydeal/cli.py
+++ b/pulleydeal/cli.py
@@ -11,8 +11,11 @@
 from pathlib import Path
 
 from pulleydeal import __version__
+from pulleydeal.policy.settings import Policy, PolicyError
+from pulleydeal.policy.settings import load as load_policy
 from pulleydeal.settings import Settings, SettingsError, load, split_address
 
+POLICY = Path(__file__).resolve().parent.parent / "deploy" / "policy.txt"
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -24,6 +27,14 @@
     check = commands.add_parser("check", help="check a settings file")
     for command in (serve, check):
         command.add_argument("--config", type=Path, required=True, help="settings file (JSON)")
+        command.add_argument(
+            "--policy",
+            type=Path,
+            default=POLICY,
+            help="the operators' expressions (default: deploy/policy.txt, if there is one)",
+        )
+    policy = commands.add_parser("policy", help="check a file of the operators' expressions")
+    policy.add_argument("file", type=Path, help="`name = expression` a line")
     submit = commands.add_parser("submit", help="submit a job")
     submit.add_argument("file", type=Path, help="the job (JSON); - reads standard input")
     status = commands.add_parser("status", help="show a job")
@@ -43,13 +54,16 @@
     if options.command in ("serve", "check"):
         try:
             settings = load(options.config)
-        except SettingsError as error:
+            policy = load_policy(options.policy)
+        except (SettingsError, PolicyError) as error:
             print(f"pulleydeal: {error}", file=sys.stderr)
             return 2
         if options.command == "check":
             print(f"{options.config}: good")
             return 0
-        return serve(settings)
+        return serve(settings, policy)
+    if options.command == "policy":
+        return check_policy(options.file)
     if options.command == "submit":
         source = sys.stdin.buffer if str(options.file) == "-" else None
         try:
@@ -64,6 +78,18 @@
     return call(options.node, "POST", path + "/cancel")
 
 
+def check_policy(path: Path) -> int:
+    try:
+        if not path.is_file():
+            raise PolicyError(f"{path}: no such file")
+        load_policy(path)
+    except PolicyError as error:
+        print(f"pulleydeal: {error}", file=sys.stderr)
+        return 2
+    print(f"{path}: good")
+    return 0
+
+
 def call(node: str, method: str, path: str, body: bytes = b"") -> int:
     try:
         host, port = split_address(node)
@@ -81,7 +107,7 @@
     return 0 if response.status < 300 else 1
 
 
-def serve(settings: Settings) -> int:
+def serve(settings: Settings, policy: Policy) -> int:
     level = LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
     logging.basicConfig(
         level=level, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s"
@@ -90,7 +116,7 @@
     from pulleydeal.clock import SystemClock
 
     async def run() -> None:
-        app = App(settings, SystemClock(), random.Random())
+        app = App(settings, SystemClock(), random.Random(), policy)
         await app.run()
 
     try:
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -134,5 +134,10 @@
 SPOT_DISCOUNT = 0.8  # spot pays if it costs less than this part of the ordinary price
 LIST_PAGE = 500  # machines per list call (PROTOCOL's maximum)
 
+# --- Operators' expressions -----------------------------------------------------------------
+EXPRESSION_CHARS = 500  # longest expression: a few lines of text, read by people
+EXPRESSION_DEPTH = 20  # deepest nesting: bounds the checker's and the evaluation's stack
+EXPRESSION_MOST = 1e12  # largest literal: far above any amount here
+
 # --- Loops --------------------------------------------------------------------------------
 LOOP_PAUSE_S = 0.5  # a loop that failed is tried again after this
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -12,6 +12,7 @@
 from pulleydeal.credits.messages import Need
 from pulleydeal.credits.queue import Room
 from pulleydeal.placement import rules
+from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.job import Job
@@ -52,9 +53,15 @@
     reached: dict[tuple[object, ...], int] = field(default_factory=dict)
     there: Counter[str] = field(default_factory=Counter)  # machines by zone
 
+    cheap: set[str] | None = None  # types whose spot machines pay; None: by the usual discount
+
+    def __post_init__(self) -> None:
+        if self.cheap is None:
+            self.cheap = cheap_enough(self.types, Policy())
+
     @property
     def spot_pays(self) -> bool:
-        return any(t.spot_price <= c.SPOT_DISCOUNT * t.price for t in self.types.values())
+        return bool(self.cheap)
 
 
 def split_catalog(catalog: r.Catalog, limits: Limits) -> list[r.Catalog]:
@@ -80,6 +87,16 @@
     return parts[: limits.ops]
 
 
+def cheap_enough(types: dict[str, r.MachineType], policy: Policy) -> set[str]:
+    """Types whose spot machines cost little enough to put up with their loss."""
+    return {
+        t.name
+        for t in types.values()
+        if t.spot_price
+        <= t.price * policy.value("spot_discount", {"price": t.price, "spot_price": t.spot_price})
+    }
+
+
 def prompt_classes(objectives: list[Objective], boot_s: float) -> tuple[set[str], bool]:
     """Classes that must start sooner than a machine boots, and whether a guarantee must."""
     classes, guarantee = set(), False
@@ -214,7 +231,7 @@
                 ):
                     continue
                 price = type_.spot_price if spot else type_.price
-                if spot and price > c.SPOT_DISCOUNT * type_.price:
+                if spot and type_.name not in (demand.cheap or ()):
                     continue
                 options.append((price, demand.there[zone], kind))
     if not options:
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -11,6 +11,8 @@
 from pulleydeal.fleet import plan
 from pulleydeal.fleet.cloud import Cloud, CloudTrouble, NoCapacity
 from pulleydeal.membership.service import Membership
+from pulleydeal.policy.language import Value
+from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Objective, StateLimits, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.rate import Turn
@@ -34,7 +36,9 @@
         objectives: list[Objective],
         clock: Clock,
         limits: StateLimits,
+        policy: Policy,
     ) -> None:
+        self._policy = policy
         self._membership = membership
         self._store = store
         self._replica = store.replica
@@ -140,6 +144,7 @@
             set(self._refused),
             self._spare(boot_s),
             ending=plan.ending(jobs, boot_s),
+            cheap=plan.cheap_enough(self._replica.types, self._policy),
         )
 
     def _spare(self, boot_s: float) -> list[r.JobSpec]:
@@ -318,9 +323,36 @@
                 idle[machine.id] = self._idle_since.get(machine.id, now)
         self._idle_since = idle
         await self._mark(late, "never came up")
-        old = [machine for machine, since in idle.items() if now - since > c.IDLE_RETURN_S]
-        machines = [self._replica.machines.get(machine) for machine in old]
-        await self._mark([m for m in machines if m and m.record.state == "up"], "idle")
+        fleet = self._described(demand)
+        there = [(self._replica.machines.get(machine), since) for machine, since in idle.items()]
+        old = [
+            machine
+            for machine, since in there
+            if machine is not None
+            and machine.record.state == "up"
+            and now - since > self._idle_stay_s(machine.record, fleet)
+        ]
+        spare = int(self._policy.value("spare_machines", fleet))
+        ordinary = [m for m in old if not m.record.spot]
+        kept = {m.id for m in ordinary[: max(0, spare - (len(idle) - len(old)))]}
+        await self._mark([m for m in old if m.id not in kept], "idle")
+
+    def _described(self, demand: plan.Demand) -> dict[str, Value]:
+        up = sum(m.record.state == "up" for m in self._replica.machines.values())
+        waiting = sum(
+            job.spec.tasks - job.done - job.bound for job in demand.jobs if job.spec is not None
+        )
+        return {"machines": float(up), "waiting_tasks": float(waiting)}
+
+    def _idle_stay_s(self, record: r.MachineRecord, fleet: dict[str, Value]) -> float:
+        type_ = self._replica.types[record.type]
+        machine: dict[str, Value] = {
+            "spot": record.spot,
+            "zone": record.zone,
+            "price": type_.spot_price if record.spot else type_.price,
+            "boot_s": type_.boot_s,
+        }
+        return self._policy.value("idle_stay_s", fleet | machine)
 
     def _untouched(self, demand: plan.Demand) -> set[str]:
         """Machines with nothing bound that the plan does not need either."""
--- a/pulleydeal/placement/rules.py
+++ b/pulleydeal/placement/rules.py
@@ -3,6 +3,8 @@
 from collections import Counter
 
 from pulleydeal import constants as c
+from pulleydeal.policy.language import Value
+from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.job import Job
@@ -65,7 +67,9 @@
     return inside
 
 
-def turn(job: Job, objectives: list[Objective], wall: float) -> tuple[int, float]:
+def turn(
+    job: Job, objectives: list[Objective], wall: float, policy: Policy | None = None
+) -> tuple[int, float]:
     """A job's turn among those of its priority: smaller goes first.
 
     First, how many of its aims can no longer be met: where not all can be served in time, room
@@ -73,7 +77,8 @@
     still waits: the most jobs are done in time when the short ones go first. Services stay in
     the order of their coming, as each second that a replica is missing counts. The jobs of a
     pipeline are short and others wait for them: they go first among equals, and of them the one
-    that must start soonest for the deadlines behind it (`starts_by`).
+    that must start soonest for the deadlines behind it (`starts_by`). Operators may put another
+    measure in the place of the second (`order`).
     """
     spec, record = job.spec, job.record
     if spec is None or record is None or spec.kind == "service":
@@ -91,6 +96,8 @@
             latest = record.at + spec.deadline_s * (objective.times or 1.0)
             missed += wall + spec.estimate_s > latest
     left = (spec.tasks - job.done - job.bound) * (spec.estimate_s or 1.0)
+    if policy is not None and policy.decides("order"):
+        return missed, policy.value("order", _described(job, spec, age, left))
     if job.chained:
         # One that is late anyway lets others go first, unless it is so small that they lose
         # nothing: gangs of two waited 38 s behind arrays that later pipelines had brought.
@@ -99,6 +106,18 @@
     return missed, 0.0 if spec.kind == "gang" else left
 
 
+def _described(job: Job, spec: r.JobSpec, age_s: float, left_s: float) -> dict[str, Value]:
+    return {
+        "kind": spec.kind,
+        "job_class": spec.klass,
+        "team": spec.team,
+        "age_s": age_s,
+        "estimate_s": spec.estimate_s,
+        "waiting_work_s": left_s,
+        "waiting_tasks": float(spec.tasks - job.done - job.bound),
+    }
+
+
 def starts_by(job: Job) -> float:
     """Wall clock by which a job should start for its own and later deadlines; else its coming."""
     return job.due - job.estimate_s if job.chained and job.due < float("inf") else job.since
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -17,6 +17,7 @@
 from pulleydeal.placement import rules
 from pulleydeal.placement.parts import Parts
 from pulleydeal.placement.pending import Pending, PendingAsks, TaskId
+from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
@@ -41,7 +42,9 @@
         objectives: list[Objective],
         clock: Clock,
         metrics: Metrics,
+        policy: Policy,
     ) -> None:
+        self._policy = policy
         self._membership = membership
         self._siblings = siblings
         self._store = store
@@ -120,7 +123,7 @@
 
         def rank(job: Job) -> tuple[object, ...]:
             assert job.spec is not None
-            turn = (*rules.turn(job, self._objectives, wall), rules.starts_by(job))
+            turn = (*rules.turn(job, self._objectives, wall, self._policy), rules.starts_by(job))
             self._turns[job.id] = turn
             return (-job.spec.priority, job.id not in inside, *turn, job.id)
 
