--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -54,6 +54,7 @@
             self.replica,
             self.workers,
             teams,
+            deployment.objectives,
             clock,
             self.metrics,
         )
--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -46,6 +46,7 @@
     priority: int
     loss: float  # rough work lost when it is stopped; smaller goes first
     team: str
+    misses: bool = False  # its job would miss an aim that it can still meet
 
 
 @dataclass(slots=True)
@@ -191,19 +192,24 @@
             continue
         if ready and ask.image not in credit.images:
             continue
-        candidates = [v for v in credit.victims if v.priority < below and preemptible(v, ask, over)]
+        candidates = [
+            v
+            for v in credit.victims
+            # A fetch that is saved is not worth another job's aim.
+            if v.priority < below and not (ready and v.misses) and preemptible(v, ask, over)
+        ]
         if not candidates:
             continue
         room = Room(credit.room.cpus, credit.room.gpus, credit.room.memory)
         chosen: list[Victim] = []
-        for victim in sorted(candidates, key=lambda v: (v.priority, v.loss)):
+        for victim in sorted(candidates, key=lambda v: (v.misses, v.priority, v.loss)):
             if room.fits(ask.need):
                 break
             room.give(victim.need)
             chosen.append(victim)
         if not room.fits(ask.need) or not chosen:
             continue
-        cost = sum(v.loss + 100.0 * v.priority for v in chosen)
+        cost = sum(v.loss + 100.0 * v.priority + c.MISS_LOSS * v.misses for v in chosen)
         if best is None or cost < best[0]:
             best = (cost, credit, chosen)
     return (best[1], best[2]) if best else None
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -34,7 +34,8 @@
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
-from pulleydeal.settings import Team
+from pulleydeal.placement import rules
+from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.reasons import made_room
 from pulleydeal.store.replica import Replica
@@ -63,9 +64,11 @@
         replica: Replica,
         workers: Workers,
         teams: dict[str, Team],
+        objectives: list[Objective],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
+        self._objectives = objectives
         self._membership = membership
         self._siblings = siblings
         self._replica = replica
@@ -82,6 +85,7 @@
         self._reserved: dict[str, tuple[TaskId, float]] = {}
         self._reserved_for: dict[TaskId, str] = {}
         self._images: Cached = {}
+        self._at_risk: dict[str, bool] = {}  # jobs that a stop would make miss an aim, this round
         self._known: dict[str, str] = {}  # members of the last view, with incarnation
         self._to_tell: dict[str, float] = {}  # members that started anew, and when to tell them
         self._published: list[Total] = []
@@ -226,7 +230,7 @@
                 continue
             room.take(need_of(spec))
             if not task.stop and spec.priority < len(r.PRIORITIES) - 1:
-                victims.append(_victim(index, task, spec))
+                victims.append(_victim(index, task, spec, self._misses(job_id)))
         for task_id, entry in station.entries.items():
             job = self._replica.jobs.get(task_id[0])
             if task_id not in bound and entry.state != "exited" and job and job.spec:
@@ -248,6 +252,14 @@
             victims,
         )
 
+    def _misses(self, job_id: str) -> bool:
+        found = self._at_risk.get(job_id)
+        if found is None:
+            job = self._replica.jobs[job_id]
+            found = rules.can_lose(job, self._objectives, self._clock.wall())
+            self._at_risk[job_id] = found
+        return found
+
     def _fetching(self, station: Station) -> frozenset[str]:
         """A binding names its image at once, but the image may be most of a minute away."""
         found = set()
@@ -289,6 +301,7 @@
         Renewing all of them each time cost most of a core at some hundred machines.
         """
         changed = []
+        self._at_risk.clear()
         dirty, self._dirty = self._dirty, set()
         for machine in dirty:
             station = self._workers.stations.get(machine)
@@ -474,11 +487,12 @@
             most[image] = (max(old[0], cpus), max(old[1], gpus))
 
 
-def _victim(index: int, task: r.Task, spec: r.JobSpec) -> Victim:
+def _victim(index: int, task: r.Task, spec: r.JobSpec, misses: bool) -> Victim:
     loss = spec.checkpoint_s or spec.estimate_s or 60.0
     if spec.kind == "gang":
         loss *= spec.tasks
-    return Victim(spec.id, index, task.attempt, need_of(spec), spec.priority, loss, spec.team)
+    need = need_of(spec)
+    return Victim(spec.id, index, task.attempt, need, spec.priority, loss, spec.team, misses)
 
 
 def ask_for(
--- a/pulleydeal/placement/rules.py
+++ b/pulleydeal/placement/rules.py
@@ -106,6 +106,24 @@
     return missed, 0.0 if spec.kind == "gang" else left
 
 
+def can_lose(job: Job, objectives: list[Objective], wall: float) -> bool:
+    """Whether a stopped task would make its job miss an aim that it can still meet."""
+    spec, record = job.spec, job.record
+    if spec is None or record is None:
+        return False
+    ends = [job.due] if job.due < float("inf") else []
+    for objective in objectives:
+        if objective.klass != spec.klass:
+            continue
+        if objective.kind == "finished" and objective.within_s is not None:
+            ends.append(job.since + objective.within_s)
+        elif objective.kind == "deadline" and spec.deadline_s is not None:
+            ends.append(record.at + spec.deadline_s * (objective.times or 1.0))
+    # Running tasks are on average half done; what is left is no more than the estimate.
+    left = [end - wall - spec.estimate_s / 2 for end in ends]
+    return any(0 <= slack < c.RESTART_S for slack in left)
+
+
 def _described(job: Job, spec: r.JobSpec, age_s: float, left_s: float) -> dict[str, Value]:
     return {
         "kind": spec.kind,
--- a/standins/owner.py
+++ b/standins/owner.py
@@ -87,7 +87,9 @@
         siblings: Any = self._siblings
         workers: Any = self._workers
         teams = {name: Team(name, gpus=guarantee) for name in ("core", "other")}
-        self._credits = Credits(membership, siblings, self.replica, workers, teams, self, Metrics())
+        self._credits = Credits(
+            membership, siblings, self.replica, workers, teams, [], self, Metrics()
+        )
 
     def now(self) -> float:
         return self._now
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -156,6 +156,20 @@
     assert chosen is not None and chosen[0].machine == "cheap"
 
 
+def test_a_task_whose_job_would_miss_its_deadline_is_stopped_last() -> None:
+    near = victim("j-2", 0, loss=1.0)
+    near.misses = True
+    image = frozenset({"img"})
+    risky = credit("risky", 0.0, victims=[near], images=image)
+    other = credit("other", 0.0, victims=[victim("j-3", 1, loss=90.0)])
+    both = [risky, other]
+    chosen = choose_victims(both, ask(priority=2), OVER, ready=False, below=4)
+    assert chosen is not None and chosen[0].machine == "other"
+    assert choose_victims(both, ask(priority=2), OVER, ready=True, below=2) is None
+    chosen = choose_victims([risky], ask(priority=2), OVER, ready=False, below=4)
+    assert chosen is not None  # a higher priority still gets its room
+
+
 def test_waiting_asks_are_served_by_priority_then_guarantee_then_turn() -> None:
     asks = [
         Waiting(ask(at=2.0), "later", 1.0, 9.0, 0.0),
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -149,6 +149,16 @@
     assert rules.turn(world.job("j-6"), [], 11.0)[0] == 1  # what is behind it can't be in time
 
 
+def test_a_job_near_an_aim_that_it_can_still_meet_is_not_the_one_to_stop() -> None:
+    world = World()
+    world.submit("j-1", deadline_s=200.0, estimate_s=40.0)
+    aims = [Objective("deadline", "c", None, 1.5), Objective("finished", "c", 90.0)]
+    risky = [
+        wall for wall in range(0, 400, 10) if rules.can_lose(world.job("j-1"), aims, float(wall))
+    ]
+    assert risky == [*range(20, 80, 10), *range(130, 190, 10), *range(230, 290, 10)]
+
+
 def test_what_is_kept_is_what_a_node_that_starts_now_works_out() -> None:
     for seed in range(30):
         rng = random.Random(seed)
