--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -7,15 +7,13 @@
 
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
+from pulleydeal.credits.images import ImagesHeld
 from pulleydeal.credits.messages import (
     Ask,
-    Cached,
     Hold,
     Need,
-    pack_cached,
     pack_hold,
     unpack_ask,
-    unpack_cached,
     unpack_free,
 )
 from pulleydeal.credits.queue import (
@@ -30,7 +28,7 @@
     probe,
     shape,
 )
-from pulleydeal.membership.messages import ASK, FREE, HOLD, IMAGES, Images, Total
+from pulleydeal.membership.messages import ASK, FREE, HOLD, Images, Total
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
@@ -84,10 +82,8 @@
         self._held_on: dict[str, set[TaskId]] = {}
         self._reserved: dict[str, tuple[TaskId, float]] = {}
         self._reserved_for: dict[TaskId, str] = {}
-        self._images: Cached = {}
+        self._images = ImagesHeld(membership, siblings, replica, clock, self._touch)
         self._at_risk: dict[str, bool] = {}  # jobs that a stop would make miss an aim, this round
-        self._known: dict[str, str] = {}  # members of the last view, with incarnation
-        self._to_tell: dict[str, float] = {}  # members that started anew, and when to tell them
         self._published: list[Total] = []
         self._published_at = -1e9
         self._unpublished = False
@@ -95,7 +91,6 @@
         self._wake = asyncio.Event()
         siblings.on(ASK, self._on_ask)
         siblings.on(FREE, self._on_free)
-        siblings.on(IMAGES, self._on_images)
         workers.changed = self._touch
         membership.totals = lambda: self._published
         replica.listen(self._on_change)
@@ -106,65 +101,20 @@
 
     def _on_change(self, kind: str, name: str) -> None:
         if kind == "bound":
-            self._note_images(name)
+            self._images.note(name)
             self._touch(name)
         elif kind == "machine":
             if name not in self._replica.machines:
-                self._images.pop(name, None)
+                self._images.forget(name)
             self._touch(name)
         elif kind in ("view", "catalog"):
             self._touch_all()
-            self._greet()
+            self._images.greet()
 
     def _touch_all(self) -> None:
         self._dirty.update(self._workers.stations, self._queue.credits)
         self._wake.set()
 
-    def _greet(self) -> None:
-        """A node that starts anew has seen no bindings but those that stand: it will be told."""
-        members = dict(self._replica.view.members)
-        if self._known.get(self._membership.me) == members.get(self._membership.me):
-            at = self._clock.now() + c.TELL_IMAGES_S
-            for name, incarnation in members.items():
-                if name != self._membership.me and self._known.get(name) != incarnation:
-                    self._to_tell[name] = at
-        self._known = members
-
-    def _tell_images(self, now: float) -> None:
-        for name in [name for name, at in self._to_tell.items() if at <= now]:
-            del self._to_tell[name]
-            machines = list(self._images)
-            for start in range(0, len(machines), c.TELL_AT_ONCE):
-                piece = {m: self._images[m] for m in machines[start : start + c.TELL_AT_ONCE]}
-                self._siblings.send(name, IMAGES, pack_cached(piece))
-
-    def _on_images(self, _sender: str, payload: bytes) -> None:
-        for machine, older in unpack_cached(payload).items():
-            if machine in self._replica.machines:
-                # What was seen here is newer than what was seen before this node started.
-                newer = self._images.get(machine, {})
-                self._images[machine] = {k: v for k, v in older.items() if k not in newer} | newer
-                self._trim(machine)
-                self._touch(machine)
-
-    def _note_images(self, machine: str) -> None:
-        """Every binding tells every node which image its machine now has."""
-        images = self._images.setdefault(machine, {})
-        for job_id, _ in self._replica.bound.get(machine, ()):
-            spec = self._replica.jobs[job_id].spec
-            if spec is not None:
-                images.pop(spec.image, None)
-                images[spec.image] = spec.image_gb
-        self._trim(machine)
-
-    def _trim(self, machine: str) -> None:
-        """A machine keeps the images used last, as many as its cache holds."""
-        images = self._images[machine]
-        record = self._replica.machines.get(machine)
-        type_ = self._replica.types.get(record.record.type) if record else None
-        while type_ and len(images) > 1 and sum(images.values()) > type_.cache_gb:
-            del images[next(iter(images))]
-
     # --- messages -----------------------------------------------------------------------
     def _on_ask(self, leader: str, payload: bytes) -> None:
         ask = unpack_ask(payload)
@@ -246,7 +196,7 @@
             station.zone,
             station.spot,
             room,
-            frozenset(self._images.get(station.id, ())) - fetching,
+            self._images.of(station.id) - fetching,
             fetching,
             reserved[0] if reserved else None,
             victims,
@@ -331,7 +281,7 @@
                 self._swept_at = now
                 self._touch_all()  # silence changes a credit too, and says nothing
             self._expire(now)
-            self._tell_images(now)
+            self._images.tell(now)
             changed = self._renew()
             self._wake.clear()  # what was touched meanwhile has just been renewed
             stops = self._serve_all(changed, now)
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -25,7 +25,7 @@
 from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Replica
 from pulleydeal.store.service import Store
-from pulleydeal.workers.service import apply_exit
+from pulleydeal.workers.changes import apply_exit
 from pulleydeal.workers.station import Exit
 
 log = logging.getLogger("pulleydeal.placement")
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -22,6 +22,7 @@
 from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
 from pulleydeal.workers import messages as m
+from pulleydeal.workers.changes import apply_exit, apply_stop
 from pulleydeal.workers.station import (
     Entry,
     Exit,
@@ -521,38 +522,3 @@
         self._store.change_job(
             job_id, partial(apply_stop, index=index, attempt=attempt, why=why), turn=Turn.WORK
         )
-
-
-def apply_exit(draft: Draft, gone: Exit) -> None:
-    """The task is proved gone: it is unbound, and done if that is how it ended."""
-    old = draft.task(gone.index)
-    if old.machine != gone.machine or old.attempt != gone.attempt:
-        return
-    task = draft.edit(gone.index)
-    if task is None:
-        return
-    task.machine = ""
-    task.stop = ""
-    task.why = gone.detail
-    if gone.outcome == "done":
-        task.why = ""
-        if draft.spec.kind != "service":
-            task.done = True
-        if draft.spec.kind == "gang":
-            # PROTOCOL: a gang's tasks complete together; when one is done, all are.
-            for index in range(draft.spec.tasks):
-                peer = draft.edit(index)
-                if peer is not None and peer.attempt == gone.attempt:
-                    peer.done = True
-    if gone.outcome == "error":
-        task.fails = min(task.fails + 1, c.MAX_FAILS)
-
-
-def apply_stop(draft: Draft, index: int, attempt: int, why: str) -> None:
-    gang = draft.spec.kind == "gang"
-    for i in range(draft.spec.tasks) if gang else [index]:
-        old = draft.task(i)
-        if old.machine and old.attempt == attempt and not old.stop and not old.done:
-            task = draft.edit(i)
-            if task is not None:
-                task.stop = why
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -14,7 +14,7 @@
 from pulleydeal.store.limits import Limits
 from pulleydeal.store.reasons import short
 from pulleydeal.store.replica import Replica
-from pulleydeal.workers.service import apply_exit, apply_stop
+from pulleydeal.workers.changes import apply_exit, apply_stop
 from pulleydeal.workers.station import Exit
 
 LIMITS = Limits(2000, 8)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -23,7 +23,7 @@
 from pulleydeal.store.limits import Limits, TooLarge, tightest
 from pulleydeal.store.reasons import CODES, short, shown
 from pulleydeal.store.replica import Replica
-from pulleydeal.workers.service import apply_exit, apply_stop
+from pulleydeal.workers.changes import apply_exit, apply_stop
 from pulleydeal.workers.station import Exit
 
 RECORDS, MESSAGES = production.trace(Path(__file__).parent / "traces" / "production.txt")
