--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -151,9 +151,8 @@
     first few fits, the others are looked at too, or a fitting credit further back would never
     be found. Credits whose machines have the image (`ready`) are looked at before all others,
     and machines busy fetching last: a fetch takes longer than most starts may. A task takes
-    the kind of machine it should where there is one. Among equals the fullest machine is taken:
-    small tasks that spread over all leave no whole machine, neither for gangs nor to give back.
-    The room is compared first, since most credits of a busy fleet have none left.
+    the kind of machine it should where there is one. The room is compared first, since most
+    credits of a busy fleet have none left.
     """
     fitting = [
         credit
@@ -161,9 +160,8 @@
         if (not ready or ask.image in credit.images) and _takes(credit, ask)
     ]
 
-    def rank(credit: Credit) -> tuple[bool, int, float, float]:
-        room = credit.room
-        return not preferred(credit, ask), fetch_rank(credit, ask), room.gpus, room.cpus
+    def rank(credit: Credit) -> tuple[bool, int]:
+        return not preferred(credit, ask), fetch_rank(credit, ask)
 
     best = min(fitting, key=rank, default=None)
     if ready and best is not None and ask.priority < c.ROOM_BELOW and not preferred(best, ask):
