Keeps a cut zone's machines; takes every failure of shared reads; refuses nonsense as malformed

Silence comes machine by machine, so the share that means "our own trouble" was reached only after the first third was gone, and then the lease decided. Change: a zone most of whose machines have to be asked directly at once is out of sight; its machines are kept (120 s at most), its room isn't planned with, nothing is rented into it, and when it comes back each machine has its full time again. Single dead machines go as soon as before (tests/test_silence.py).

Also: a shared read whose waiters had all given up left a traceback in each outage; its failure is taken now, and scenarios fail on whatever reaches the event loop unheard. Deeply nested JSON is 400 at every decoder, a body announced as over 64 KiB is 413 at once, strangers on the nodes' own port are counted and told once a minute. rules.py belongs to no slice: credits no longer imports from placement.

--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -80,6 +80,7 @@
             clock,
             limits,
             policy,
+            self.workers.unseen_zones,
         )
         self.submissions = Submissions(
             self.membership,
@@ -114,6 +115,7 @@
         self.metrics.epoch.set(self.membership.epoch)
         self.metrics.store_requests.set(self.client.requests)
         self.metrics.store_refusals.set(self.client.refusals)
+        self.metrics.strangers.set(self.siblings.strangers)
         self.metrics.checkin_age.set(self.workers.oldest_report_s())
         return self.metrics.text()
 
--- a/pulleydeal/cli.py
+++ b/pulleydeal/cli.py
@@ -102,7 +102,7 @@
         return 1
     try:
         print(json.dumps(json.loads(reply), indent=2))
-    except ValueError:
+    except (ValueError, RecursionError):
         print(reply.decode(errors="replace"))
     return 0 if response.status < 300 else 1
 
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -59,6 +59,7 @@
 FORMAT = 1  # what this version can read and keep, shown durably; 1: jobs that wait on others
 EPOCH_SHIFT = 24  # bits of a token below the epoch: the per-machine fence counter
 DIAL_TIMEOUT_S = 1.0  # sibling connect: hosts are a few ms apart
+STRANGERS_TOLD_S = 60.0  # a scanner of ports must not fill the log
 MAX_FRAME_B = 1 << 20  # sibling frame bound; an ask of 64 tasks is a few KiB
 
 # --- Workers ------------------------------------------------------------------------------
@@ -74,6 +75,9 @@
 PROBE_REPORTS = 1.4  # report periods of silence before a machine is asked directly
 SILENT_SHARE = 0.34  # silent part of one's machines from which the fault may be one's own
 SILENT_FEW = 3  # silent machines that are never too many
+ZONE_SILENT_FEW = 2  # quiet machines of one zone that are never a cut
+ZONE_SILENT_SHARE = 0.5  # part of one's machines of a zone, quiet at once, that means a cut
+UNSEEN_KEEP_S = 120.0  # machines behind a cut are kept so long: cuts last under a minute
 LOOK_ROUND_S = 1.0  # all own machines are looked at so often, though nothing changed
 KILL_REPEAT_S = 2.0  # a kill not yet seen to work is sent again after this
 STOP_SLACK_S = 4.0  # seconds on top of stow_s between the last kill and a spot machine's end
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 
 from pulleydeal import constants as c
+from pulleydeal import rules
 from pulleydeal.clock import Clock
 from pulleydeal.credits.images import ImagesHeld
 from pulleydeal.credits.messages import (
@@ -32,7 +33,6 @@
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
-from pulleydeal.placement import rules
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.reasons import made_room
--- a/pulleydeal/fleet/cloud.py
+++ b/pulleydeal/fleet/cloud.py
@@ -1,11 +1,14 @@
 """The cloud, spoken to by its protocol."""
 
 import asyncio
+from typing import TypeVar
+
+from msgspec.json import Decoder
 
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.fleet import messages as m
-from pulleydeal.http import Client, NoAnswer
+from pulleydeal.http import MALFORMED, Client, NoAnswer
 from pulleydeal.store.rate import Rate
 from pulleydeal.store.records import MachineType
 
@@ -22,6 +25,16 @@
     """None of this kind to be had now."""
 
 
+T = TypeVar("T")
+
+
+def _understood(decoder: Decoder[T], reply: bytes) -> T:
+    try:
+        return decoder.decode(reply)
+    except MALFORMED as error:  # it may have been executed all the same
+        raise CloudTrouble(f"an answer that makes no sense: {error}", True) from error
+
+
 class Cloud:
     def __init__(self, address: str, clock: Clock, rps: float) -> None:
         self._http = Client(address, clock)
@@ -41,11 +54,11 @@
         return reply
 
     async def catalog(self) -> list[MachineType]:
-        return [t.type() for t in m.CATALOG.decode(await self._call("GET", "/catalog")).types]
+        return [t.type() for t in _understood(m.CATALOG, await self._call("GET", "/catalog")).types]
 
     async def rent(self, request: str, type_: str, zone: str, spot: bool, count: int) -> list[str]:
         body = m.rent(request, type_, zone, spot, count)
-        return m.RENTED.decode(await self._call("POST", "/rentals", body)).machines
+        return _understood(m.RENTED, await self._call("POST", "/rentals", body)).machines
 
     async def give_back(self, machines: list[str]) -> None:
         await self._call("POST", "/rentals/return", m.give_back(machines))
@@ -55,7 +68,7 @@
         path = f"/rentals?limit={c.LIST_PAGE}"
         while True:
             after = f"&after={found[-1].id}" if found else ""
-            page = m.LISTING.decode(await self._call("GET", path + after))
+            page = _understood(m.LISTING, await self._call("GET", path + after))
             found += page.machines
             if not page.more or not page.machines:
                 return found
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from pulleydeal import constants as c
+from pulleydeal import rules
 from pulleydeal.credits.messages import Need
 from pulleydeal.credits.queue import Room
-from pulleydeal.placement import rules
 from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
@@ -53,6 +53,7 @@
     reached: dict[tuple[object, ...], int] = field(default_factory=dict)
     there: Counter[str] = field(default_factory=Counter)  # machines by zone
 
+    unseen: set[str] = field(default_factory=set)  # zones cut off: nothing is rented there
     cheap: set[str] | None = None  # types whose spot machines pay; None: by the usual discount
 
     def __post_init__(self) -> None:
@@ -125,12 +126,13 @@
     )
 
 
-def spaces(replica: Replica, wall: float) -> list[Space]:
+def spaces(replica: Replica, wall: float, unseen: set[str] | None = None) -> list[Space]:
+    """Room there is; not in zones that are cut off, where nothing can be started."""
     found = []
     for machine in replica.machines.values():
         rec = machine.record
         type_ = replica.types.get(rec.type)
-        if type_ is None or rec.state not in ("up", "boot"):
+        if type_ is None or rec.state not in ("up", "boot") or rec.zone in (unseen or ()):
             continue
         if rec.state == "boot" and wall - rec.at > c.BOOT_LATE_FACTOR * type_.boot_s:
             continue  # late: plan as if it never came
@@ -221,7 +223,7 @@
             continue
         if not Room(type_.cpus, type_.gpus, type_.memory).fits(need):
             continue
-        for zone in (z for z in zones if z in type_.zones):
+        for zone in (z for z in zones if z in type_.zones and z not in demand.unseen):
             for spot in (False, True):
                 kind = (type_.name, zone, spot)
                 if (
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -37,7 +37,9 @@
         clock: Clock,
         limits: StateLimits,
         policy: Policy,
+        unseen: Callable[[], set[str]],
     ) -> None:
+        self._unseen = unseen
         self._policy = policy
         self._membership = membership
         self._store = store
@@ -133,9 +135,10 @@
                 came = self._recent.setdefault(job.spec.klass, {})
                 came[job.id] = (job.since, job.spec)
         boot_s = max((t.boot_s for t in self._replica.types.values()), default=0.0)
+        unseen = self._unseen()
         return plan.Demand(
             jobs,
-            plan.spaces(self._replica, self._clock.wall()),
+            plan.spaces(self._replica, self._clock.wall(), unseen),
             dict(self._replica.usage()),
             self._replica.zone_of,
             self._replica.types,
@@ -144,6 +147,7 @@
             set(self._refused),
             self._spare(boot_s),
             ending=plan.ending(jobs, boot_s),
+            unseen=unseen,
             cheap=plan.cheap_enough(self._replica.types, self._policy),
         )
 
--- a/pulleydeal/http.py
+++ b/pulleydeal/http.py
@@ -15,6 +15,9 @@
 
 log = logging.getLogger("pulleydeal.http")
 
+# What a body or an answer that can't be decoded raises: `[[[[...` ends in a RecursionError.
+MALFORMED = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
 
 class NoAnswer(Exception):
     """No response came. `sent` tells whether the request may have been executed."""
@@ -115,7 +118,7 @@
                 reply = answer(error.error_status_hint, {"error": str(error)})
                 await _send(conn, writer, reply, close=True)
             return None
-        if request is not None and len(request.body) > c.MAX_BODY_B:
+        except TooLong:
             await _send(conn, writer, answer(413, {"error": "body over 64 KiB"}), close=True)
             return None
         return request
@@ -134,6 +137,14 @@
             self._crowd_busy -= crowd
 
 
+class TooLong(Exception):
+    """A body is, or is announced to be, over the limit."""
+
+
+def _announced(head: h11.Request) -> int:
+    return next((int(value) for name, value in head.headers if name == b"content-length"), 0)
+
+
 async def _read_request(conn: h11.Connection, reader: asyncio.StreamReader) -> Request | None:
     head: h11.Request | None = None
     body = bytearray()
@@ -146,10 +157,12 @@
             timeout = c.REQUEST_READ_S
         elif isinstance(event, h11.Request):
             head = event
+            if _announced(head) > c.MAX_BODY_B:
+                raise TooLong  # known before any of it is read
         elif isinstance(event, h11.Data):
             body += event.data
             if len(body) > c.MAX_BODY_B:
-                return Request("", "", bytes(body))
+                raise TooLong
         elif isinstance(event, h11.EndOfMessage) and head is not None:
             return Request(head.method.decode(), head.target.decode("latin-1"), bytes(body))
         else:
--- a/pulleydeal/membership/siblings.py
+++ b/pulleydeal/membership/siblings.py
@@ -70,6 +70,8 @@
         self._heard: dict[str, float] = {s: clock.now() for s in self._links}
         self._steady: dict[str, float] = {s: clock.now() for s in self._links}
         self._server: asyncio.Server | None = None
+        self.strangers = 0  # connections to `back` ended for what came over them
+        self._told_at = -1e9
 
     def on(self, kind: int, handler: Handler) -> None:
         self._handlers[kind] = handler
@@ -106,6 +108,15 @@
             self._steady[name] = now
         self._heard[name] = now
 
+    def _refuse(self, name: str, why: str) -> None:
+        """Counted, and told at most once a minute: anybody may connect here."""
+        self.strangers += 1
+        now = self._clock.now()
+        if now - self._told_at >= c.STRANGERS_TOLD_S:
+            self._told_at = now
+            who = name if name in self._links else "a stranger"
+            log.error("bad message from %s: %s (%d so far)", who, why, self.strangers)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         name = ""
         try:
@@ -125,7 +136,9 @@
         except (OSError, EOFError):
             pass
         except BadFrame as error:
-            log.error("bad message from %s: %s", name or "a stranger", error)
+            self._refuse(name, str(error))
+        except Exception:  # a message must not end in an unheard task
+            log.exception("a message from %s failed", name)
         finally:
             with contextlib.suppress(OSError):
                 writer.transport.abort()
--- a/pulleydeal/metrics.py
+++ b/pulleydeal/metrics.py
@@ -44,6 +44,11 @@
             "Requests that the state service refused",
             registry=registry,
         )
+        self.strangers = Gauge(
+            "pulleydeal_back_refused",
+            "Connections between controllers ended for what came over them",
+            registry=registry,
+        )
         self.checkin_age = Gauge(
             "pulleydeal_checkin_age_max_seconds",
             "Age of the oldest machine's report",
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -7,6 +7,7 @@
 from functools import partial
 
 from pulleydeal import constants as c
+from pulleydeal import rules
 from pulleydeal.clock import Clock
 from pulleydeal.credits.messages import Free, pack_ask, pack_free, unpack_hold
 from pulleydeal.credits.service import ask_for
@@ -14,7 +15,6 @@
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
-from pulleydeal.placement import rules
 from pulleydeal.placement.parts import Parts
 from pulleydeal.placement.pending import Pending, PendingAsks, TaskId
 from pulleydeal.policy.settings import Policy
--- a/pulleydeal/settings.py
+++ b/pulleydeal/settings.py
@@ -121,5 +121,5 @@
         raise SettingsError(f"{path}: {error.strerror}") from error
     try:
         return msgspec.json.decode(raw, type=Settings, strict=False)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}") from error
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 from collections import deque
-from typing import Any
+from typing import Any, TypeVar
+
+from msgspec.json import Decoder
 
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
-from pulleydeal.http import Client, NoAnswer
+from pulleydeal.http import MALFORMED, Client, NoAnswer
 from pulleydeal.settings import StateLimits
 from pulleydeal.store import messages as m
 from pulleydeal.store.rate import Rate, Turn, Turnstile
@@ -36,6 +38,17 @@
     """The watch can't continue from there; everything must be read again."""
 
 
+T = TypeVar("T")
+
+
+def _understood(decoder: Decoder[T], reply: bytes) -> T:
+    """An answer that makes no sense tells nothing: it counts as none."""
+    try:
+        return decoder.decode(reply)
+    except MALFORMED as error:
+        raise Unknown(f"an answer that makes no sense: {error}") from error
+
+
 class StateClient:
     def __init__(self, address: str, clock: Clock, limits: StateLimits, nodes: int) -> None:
         self._http = Client(address, clock)
@@ -106,7 +119,7 @@
 
     async def revision(self) -> int:
         _, reply = await self._call("GET", f"/store/{NOTHING}")
-        return m.REVISION.decode(reply).revision
+        return _understood(m.REVISION, reply).revision
 
     async def page(self, prefix: str, after: str | None) -> m.Page:
         path = f"/store?under={prefix}&limit={c.PAGE_LIMIT}"
@@ -115,7 +128,7 @@
         status, reply = await self._call("GET", path)
         if status != 200:
             raise Unavailable(f"GET {path}: {status}")
-        return m.PAGE.decode(reply)
+        return _understood(m.PAGE, reply)
 
     async def watch(self, prefix: str, after: int) -> m.Changes:
         path = f"/watch?under={prefix}&after={after}&hold_ms={c.WATCH_HOLD_MS}"
@@ -125,7 +138,7 @@
             raise TooOld
         if status != 200:
             raise Unavailable(f"GET {path}: {status}")
-        return m.CHANGES.decode(reply)
+        return _understood(m.CHANGES, reply)
 
     async def may_write(self, turn: Turn) -> None:
         """Returns when a commit may be made; the caller makes it before it awaits anything else."""
@@ -143,7 +156,7 @@
             self._note_refused_write()
             raise Unavailable("POST /commit: 429")
         if status in (200, 409):
-            return status == 200, m.REVISION.decode(reply)
+            return status == 200, _understood(m.REVISION, reply)
         if status == 400 and b"lease" in reply:
             raise LeaseLost
         if status == 400:
@@ -169,7 +182,7 @@
         status, reply = await self._call("POST", "/holds", {"ttl_ms": ttl_ms})
         if status != 200:
             raise Unavailable(f"POST /holds: {status}")
-        return m.GRANTED.decode(reply).lease
+        return _understood(m.GRANTED, reply).lease
 
     async def renew(self, lease: int) -> None:
         status, _ = await self._call("POST", f"/holds/{lease}/renew", {})
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pulleydeal import constants as c
+from pulleydeal.background import take_failure
 from pulleydeal.clock import Clock
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
@@ -108,6 +109,7 @@
             async with asyncio.timeout(c.FRESH_TIMEOUT_S):
                 if self._barrier is None:
                     self._barrier = asyncio.ensure_future(self._read_revision())
+                    self._barrier.add_done_callback(take_failure)
                 revision = await asyncio.shield(self._barrier)
                 await self.replica.reach(revision)
         except (TimeoutError, Unknown) as error:
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -8,13 +8,13 @@
 import msgspec
 
 from pulleydeal import constants as c
+from pulleydeal import rules
 from pulleydeal.clock import Clock
 from pulleydeal.credits.messages import Need
 from pulleydeal.credits.queue import Room
-from pulleydeal.http import Request, Response, answer
+from pulleydeal.http import MALFORMED, Request, Response, answer
 from pulleydeal.membership.service import Membership
 from pulleydeal.metrics import Metrics
-from pulleydeal.placement import rules
 from pulleydeal.settings import Team
 from pulleydeal.store import records as r
 from pulleydeal.store.client import Unavailable, Unknown
@@ -118,7 +118,7 @@
     async def submit(self, body: bytes) -> Response:
         try:
             spec = m.SUBMISSION.decode(body).spec()
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED as error:
             return await self._malformed(body, str(error))
         known = self._replica.jobs.get(spec.id)
         if known is not None and known.record is not None:
@@ -191,7 +191,7 @@
     async def _malformed(self, body: bytes, why: str) -> Response:
         try:
             parsed = msgspec.json.decode(body)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except MALFORMED:
             return answer(400, {"error": why})
         job = parsed.get("name_id") if isinstance(parsed, dict) else None
         if isinstance(job, str) and JOB_ID.match(job):
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from pulleydeal import constants as c
+from pulleydeal.background import Background
 from pulleydeal.clock import Clock
-from pulleydeal.http import Client, NoAnswer, Request, Response, answer
+from pulleydeal.http import MALFORMED, Client, NoAnswer, Request, Response, answer
 from pulleydeal.membership import view as views
 from pulleydeal.membership.service import Membership
 from pulleydeal.metrics import Metrics
@@ -35,7 +36,9 @@
     absorb,
     is_sick,
     reconcile,
+    silent_for_long,
     silent_s,
+    unseen_zones,
 )
 
 log = logging.getLogger("pulleydeal.workers")
@@ -68,7 +71,7 @@
         self._writing: set[str] = set()
         self._orders = asyncio.Semaphore(c.ORDERS_IN_FLIGHT)
         self._probes = asyncio.Semaphore(c.PROBES_IN_FLIGHT)
-        self._background: set[asyncio.Task[None]] = set()
+        self._background = Background("a worker exchange failed")
         self._dirty: set[str] = set()
         self._wake = asyncio.Event()
         # A blind node must be silent early enough that leases end within cancel_s.
@@ -77,6 +80,7 @@
         )
         # Machines whose last report names a task of the job: found without asking each one.
         self._reported: dict[str, set[str]] = {}
+        self._unseen_at: dict[str, float] = {}  # zone -> when it was last out of sight
         self._looked_at = -1e9  # when all machines were last looked at
         # Called with a machine whose credit may have changed.
         self.changed: Callable[[str], None] = _nothing
@@ -154,6 +158,15 @@
         limit = c.SILENT_REPORTS * self._times.report_s
         return silent_s(station, self._clock.now()) > limit
 
+    def unseen_zones(self) -> set[str]:
+        """Zones that can't be seen from here at present, by this node's own machines.
+
+        None, when it is all of them: that is trouble of our own, and others see them.
+        """
+        stations = list(self.stations.values())
+        unseen = unseen_zones(stations, self._clock.now(), self._times.report_s)
+        return unseen if any(s.zone not in unseen for s in stations) else set()
+
     def oldest_report_s(self) -> float:
         now = self._clock.now()
         return max((silent_s(station, now) for station in self.stations.values()), default=0.0)
@@ -162,7 +175,7 @@
     async def checkin(self, request: Request) -> Response:
         try:
             report = m.REPORT.decode(request.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except MALFORMED as error:
             return answer(400, {"error": str(error)})
         if not self._replica.loaded or not self._membership.is_member:
             return answer(503, {"error": "not ready"}, c.RETRY_AFTER_S)
@@ -191,7 +204,7 @@
             return answer(421, m.redirect(""))
         self._take(station, report, checkin=True)
         if record is None or record.record.state == "boot" or (record.record.addr != report.addr):
-            self._spawn(self._adopt(report))
+            self._background.spawn(self._adopt(report))
         plan = self._plan(station)
         for start in plan.runs:
             station.sent[start] = Sent(station.session, report.seq)
@@ -394,7 +407,7 @@
             for start in plan.runs:
                 station.sent[start] = Sent(station.session, 0, direct=True)
                 self._log_run(station, start, "order")
-            self._spawn(self._order(station, urgent, plan.runs))
+            self._background.spawn(self._order(station, urgent, plan.runs))
 
     async def _order(
         self, station: Station, calls: list[dict[str, Any]], runs: list[Start]
@@ -425,7 +438,7 @@
         if status in (200, 409):
             try:
                 report = m.REPORT.decode(reply)
-            except msgspec.DecodeError as error:
+            except MALFORMED as error:
                 log.error("machine %s answers nonsense: %s", station.id, error)
                 return
             if self.stations.get(station.id) is station:
@@ -443,16 +456,6 @@
             station.sent[start].fence = self.token(station)
             station.sent[start].direct = False
 
-    def _spawn(self, work: Any) -> None:
-        task: asyncio.Task[None] = asyncio.ensure_future(work)
-        self._background.add(task)
-        task.add_done_callback(self._done)
-
-    def _done(self, task: asyncio.Task[None]) -> None:
-        self._background.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.info("a worker exchange failed: %r", task.exception())
-
     # --- machines that should go --------------------------------------------------------------
     async def tend(self) -> None:
         """One round: marks silent and sick machines, and drains those with a notice."""
@@ -463,15 +466,10 @@
         for client in self._clients.values():
             client.drop_stale()
         report_s = self._times.report_s
-        silent = [
-            s
-            for s in self.stations.values()
-            if silent_s(s, now) > c.SILENT_RETURN_REPORTS * report_s
-        ]
-        # Many at once look like trouble of our own: then only the lease decides.
-        suspect = len(silent) > max(c.SILENT_FEW, len(self.stations) * c.SILENT_SHARE)
-        limit = self._times.lease_s if suspect else c.SILENT_RETURN_REPORTS * report_s
-        for station in list(self.stations.values()):
+        stations = list(self.stations.values())
+        lease_s = self._times.lease_s
+        silent = {s.id for s in silent_for_long(stations, now, report_s, lease_s, self._unseen_at)}
+        for station in stations:
             if self.stations.get(station.id) is not station:
                 continue  # given up while an earlier one was being written
             if silent_s(station, now) > c.PROBE_REPORTS * report_s:
@@ -480,7 +478,8 @@
             if record is None or record.record.state != "up":
                 continue
             why = ""
-            if silent_s(station, now) > limit:
+            # Asked again: it may have been heard while another's record was written.
+            if station.id in silent and silent_s(station, now) > c.PROBE_REPORTS * report_s:
                 why = "silent"
             elif is_sick(station, now):
                 why = "sick"
@@ -494,7 +493,7 @@
         """Asks a machine whose reports stay out: silence alone may be a lost packet's."""
         if station.addr and not station.busy:
             station.busy = True
-            self._spawn(self._order(station, [], []))
+            self._background.spawn(self._order(station, [], []))
 
     async def mark(self, machine: str, why: str) -> None:
         old = self._replica.machines[machine]
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -3,6 +3,7 @@
 Everything here is a plain function of state and time; nothing is sent from here.
 """
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -123,6 +124,57 @@
     return now - max(s.since, s.heard_at if s.heard_at is not None else s.since)
 
 
+def unseen_zones(stations: list[Station], now: float, report_s: float) -> set[str]:
+    """Zones most of whose machines are quiet at once: cut off, as machines die one by one.
+
+    Quiet is who has to be asked directly, well before anything is given back: silence comes
+    machine by machine, and by the time that the first was given back the share of those to be
+    given back was still small, so cut zones were thrown away.
+    """
+    quiet = Counter(s.zone for s in stations if silent_s(s, now) > c.PROBE_REPORTS * report_s)
+    # Of a machine that was taken over a moment ago nothing is known yet.
+    known = quiet + Counter(
+        s.zone
+        for s in stations
+        if s.heard_at is not None and silent_s(s, now) <= c.PROBE_REPORTS * report_s
+    )
+    return {
+        zone
+        for zone, count in quiet.items()
+        if count > max(c.ZONE_SILENT_FEW, known[zone] * c.ZONE_SILENT_SHARE)
+    }
+
+
+def silent_for_long(
+    stations: list[Station],
+    now: float,
+    report_s: float,
+    lease_s: float,
+    unseen_at: dict[str, float],
+) -> list[Station]:
+    """Machines to be given back for their silence.
+
+    `unseen_at`: zone -> when it was last out of sight; kept here. When a zone comes back, its
+    machines are heard one by one, and each has its full time again from then on.
+    """
+    unseen = unseen_zones(stations, now, report_s)
+    unseen_at |= dict.fromkeys(unseen, now)
+    quiet = sum(silent_s(s, now) > c.PROBE_REPORTS * report_s for s in stations)
+    # Many at once look like trouble of our own: then only the lease decides.
+    suspect = quiet > max(c.SILENT_FEW, len(stations) * c.SILENT_SHARE)
+    usual = lease_s if suspect else c.SILENT_RETURN_REPORTS * report_s
+    found = []
+    for s in stations:
+        silence = silent_s(s, now)
+        if s.zone in unseen:
+            late = silence > c.UNSEEN_KEEP_S
+        else:
+            late = min(silence, now - unseen_at.get(s.zone, -1e9)) > usual
+        if late:
+            found.append(s)
+    return found
+
+
 def lease_over(s: Station, now: float, lease_s: float) -> bool:
     """The worker must have killed everything: we alone could renew, and did not.
 
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -9,11 +9,18 @@
 from pulleydeal import constants as c
 from pulleydeal.cli import main
 from pulleydeal.clock import SystemClock
-from pulleydeal.http import Client, Request, Response, Server, answer
+from pulleydeal.fleet.cloud import CloudTrouble
+from pulleydeal.fleet.cloud import _understood as understood_cloud
+from pulleydeal.fleet.messages import CATALOG, LISTING
+from pulleydeal.http import MALFORMED, Client, Request, Response, Server, answer
 from pulleydeal.settings import SettingsError, Team, load
 from pulleydeal.store import records as r
+from pulleydeal.store.client import Unknown
+from pulleydeal.store.client import _understood as understood_state
+from pulleydeal.store.messages import CHANGES, PAGE, REVISION
 from pulleydeal.submissions import messages as m
 from pulleydeal.submissions.service import refusal
+from pulleydeal.workers.messages import REPORT
 
 GOOD = {
     "name_id": "j-000412",
@@ -116,6 +123,25 @@
     assert asyncio.run(exchange(b"NONSENSE\r\n\r\n")).startswith(b"HTTP/1.1 400")
 
 
+def test_a_body_announced_as_too_long_is_refused_before_it_is_read() -> None:
+    head = f"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: {c.MAX_BODY_B + 1}\r\n\r\n"
+    assert asyncio.run(exchange(head.encode())).startswith(b"HTTP/1.1 413")
+
+
+@pytest.mark.parametrize(
+    "nested", [b"[" * 20_000, b'{"a":' * 10_000, b'{"spread":' + b"[" * 20_000]
+)
+def test_a_deeply_nested_body_is_malformed_and_nothing_worse(nested: bytes) -> None:
+    """It ended in a traceback and 503, which users repeat for a minute."""
+    for decoder in (m.SUBMISSION, REPORT, CATALOG, LISTING, PAGE, CHANGES, REVISION):
+        with pytest.raises(MALFORMED):
+            decoder.decode(nested)
+    with pytest.raises(Unknown):
+        understood_state(PAGE, nested)
+    with pytest.raises(CloudTrouble):
+        understood_cloud(LISTING, nested)
+
+
 def test_a_handler_that_fails_is_answered_503_with_when_to_come_back() -> None:
     async def fails(request: Request) -> Response:
         raise RuntimeError("for a test")
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from pulleydeal.placement import rules
+from pulleydeal import rules
 from pulleydeal.settings import Objective
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -2,9 +2,9 @@
 
 from collections import Counter
 
+from pulleydeal import rules
 from pulleydeal.credits.queue import Room
 from pulleydeal.fleet import plan
-from pulleydeal.placement import rules
 from pulleydeal.settings import Objective, Team
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Job
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,9 +1,13 @@
 """Whole days in small: three nodes over the stand-ins, by a virtual clock."""
 
+import asyncio
 from pathlib import Path
 
 import pytest
 
+from pulleydeal import constants as c
+from pulleydeal.store import service
+from pulleydeal.store.service import Store
 from standins.rules import Rules
 from standins.scenario import play
 
@@ -21,6 +25,26 @@
     assert scenario.state.too_large == []  # nothing was ever sent that the limits forbid
 
 
+def test_a_failure_that_nobody_hears_fails_the_scenario(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def fails(self: Store) -> int:
+        await asyncio.sleep(0.02)
+        self._barrier = None
+        raise RuntimeError("for a test")
+
+    def without_ears(future: object) -> None:
+        """As it was before shared reads had their failure taken."""
+
+    path = tmp_path / "day.txt"
+    path.write_text("1 submit j-1 batch 1 5\n2 poll j-1\n9 poll j-1")
+    assert play(path, 1).failures == []
+    monkeypatch.setattr(service, "take_failure", without_ears)
+    monkeypatch.setattr(Store, "_read_revision", fails)
+    monkeypatch.setattr(c, "FRESH_TIMEOUT_S", 0.01)
+    assert any("for a test" in line for line in play(path, 1).failures)
+
+
 JOB = {
     "name_id": "j-1",
     "crew": "small",
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,65 @@
+"""Who is given back for its silence: single dead machines soon, a cut zone's not."""
+
+from pulleydeal import constants as c
+from pulleydeal.workers.station import Station, silent_for_long, unseen_zones
+
+REPORT_S, LEASE_S = 3.0, 14.0
+SOON = c.SILENT_RETURN_REPORTS * REPORT_S
+
+
+def machines(zone: str, heard: list[float | None], since: float = 0.0) -> list[Station]:
+    found = []
+    for i, at in enumerate(heard):
+        station = Station(f"{zone}-{i}", "t4", zone, False, since, 0, set())
+        station.heard_at = at
+        found.append(station)
+    return found
+
+
+def given_back(stations: list[Station], now: float, unseen_at: dict[str, float]) -> list[str]:
+    return [s.id for s in silent_for_long(stations, now, REPORT_S, LEASE_S, unseen_at)]
+
+
+def test_a_single_dead_machine_goes_as_soon_as_before() -> None:
+    stations = machines("east", [100.0] * 19 + [91.0]) + machines("west", [100.0] * 20)
+    assert given_back(stations, 100.0, {}) == ["east-19"]
+    assert given_back(stations, 91.0 + SOON, {}) == []
+
+
+def test_a_zone_that_falls_silent_is_kept_from_the_first_machine_on() -> None:
+    """Silence comes machine by machine: each had reported at another moment before the cut."""
+    cut = 100.0
+    stations = machines("east", [cut - 0.15 * i for i in range(20)])
+    stations += machines("west", [cut + 30.0] * 20)
+    for tenth in range(300):
+        now = cut + tenth / 10
+        assert given_back(stations, now, {}) == []
+    assert unseen_zones(stations, cut + 30, REPORT_S) == {"east"}
+
+
+def test_of_a_zone_out_of_sight_for_very_long_machines_go_all_the_same() -> None:
+    stations = machines("east", [0.0] * 5) + machines("west", [c.UNSEEN_KEEP_S + 1] * 9)
+    assert len(given_back(stations, c.UNSEEN_KEEP_S + 1, {})) == 5
+
+
+def test_when_a_zone_comes_back_its_last_machines_have_their_full_time_again() -> None:
+    unseen_at: dict[str, float] = {}
+    stations = machines("east", [100.0] * 10) + machines("west", [140.0] * 10)
+    assert given_back(stations, 140.0, unseen_at) == []
+    for station in stations[:9]:
+        station.heard_at = 141.0
+    assert given_back(stations, 141.0, unseen_at) == []
+    for station in stations[:9] + stations[10:]:
+        station.heard_at = 140.0 + SOON + 0.2
+    assert given_back(stations, 140.0 + SOON + 0.2, unseen_at) == ["east-9"]
+
+
+def test_machines_taken_over_a_moment_ago_say_nothing_for_or_against_a_cut() -> None:
+    mine = machines("east", [95.0, 95.0, 95.0])
+    taken = machines("east", [None] * 4, since=102.0)
+    assert unseen_zones(mine + taken, 104.0, REPORT_S) == {"east"}
+
+
+def test_a_node_that_hears_nobody_suspects_itself() -> None:
+    stations = machines("east", [100.0] * 10) + machines("west", [100.0] * 10)
+    assert given_back(stations, 100.0 + LEASE_S + 20.0, {}) == []
