Adds the demo in one command, features.toml, the operators' interface, JSON logs, features' records

Need: the ground that new subsystems stand on, and a first run that took an install and four terminals. Change: `run.py demo [--setup]` starts stand-ins and nodes, follows a job and a pipeline to done, and serves; ports in use and missing libraries are one line each. deploy/features.toml switches features, typed and checked with their place; what is off is not imported. The operators' interface (off, loopback only) has a route table that features add to, pages, bounded bodies, errors with code and request id. Features keep records below p/f/<feature>/, conditional on the view, relied on once every node shows in p/s/ that it has the feature on (FORMAT 2). LOG_FORMAT=json gives the same fields as an object a line.

--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -8,6 +8,8 @@
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.credits.service import Credits
+from pulleydeal.features.settings import Features
+from pulleydeal.features.switch import switched_on
 from pulleydeal.fleet.cloud import Cloud
 from pulleydeal.fleet.service import Fleet
 from pulleydeal.http import Request, Response, Server, answer
@@ -34,6 +36,7 @@
         clock: Clock,
         rng: random.Random,
         policy: Policy | None = None,
+        features: Features | None = None,
     ) -> None:
         policy = policy or Policy()
         deployment = settings.deployment
@@ -47,7 +50,9 @@
         self.siblings = Siblings(settings, clock)
         self.membership = Membership(settings, self.store, self.siblings, clock, rng)
         self.workers = Workers(self.membership, self.store, deployment.workers, clock, self.metrics)
-        teams, zones = settings.teams, deployment.zones
+        self.teams = teams = settings.teams
+        self.zones = zones = deployment.zones
+        self.clock = clock
         self.credits = Credits(
             self.membership,
             self.siblings,
@@ -94,6 +99,8 @@
         sockets = int(deployment.machine_limits.max_sockets * c.SOCKET_SHARE_SERVER)
         self.server = Server(self.handle, sockets, crowd="/submissions")
 
+        self.features = switched_on(features or Features(), self)
+
     async def handle(self, request: Request) -> Response:
         path = request.path.partition("?")[0]
         if path == "/checkin":
@@ -144,4 +151,7 @@
             "list": self.fleet.listing,
         }
         loops |= {f"link to {link.name}": link.run for link in self.siblings.links()}
+        for feature in self.features:
+            await feature.start()
+            loops |= feature.loops()
         await asyncio.gather(*(forever(name, step) for name, step in loops.items()))
--- a/pulleydeal/cli.py
+++ b/pulleydeal/cli.py
@@ -4,19 +4,20 @@
 import asyncio
 import http.client
 import json
-import logging
-import os
 import random
 import sys
 from pathlib import Path
 
-from pulleydeal import __version__
+from pulleydeal import __version__, logs
+from pulleydeal.features.settings import Features, FeaturesError
+from pulleydeal.features.settings import load as load_features
 from pulleydeal.policy.settings import Policy, PolicyError
 from pulleydeal.policy.settings import load as load_policy
 from pulleydeal.settings import Settings, SettingsError, load, split_address
 
-POLICY = Path(__file__).resolve().parent.parent / "deploy" / "policy.txt"
-LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+DEPLOY = Path(__file__).resolve().parent.parent / "deploy"
+POLICY = DEPLOY / "policy.txt"
+FEATURES = DEPLOY / "features.toml"
 
 
 def parser() -> argparse.ArgumentParser:
@@ -33,6 +34,12 @@
             default=POLICY,
             help="the operators' expressions (default: deploy/policy.txt, if there is one)",
         )
+        command.add_argument(
+            "--features",
+            type=Path,
+            default=FEATURES,
+            help="what is switched on (default: deploy/features.toml, if there is one)",
+        )
     policy = commands.add_parser("policy", help="check a file of the operators' expressions")
     policy.add_argument("file", type=Path, help="`name = expression` a line")
     submit = commands.add_parser("submit", help="submit a job")
@@ -55,13 +62,15 @@
         try:
             settings = load(options.config)
             policy = load_policy(options.policy)
-        except (SettingsError, PolicyError) as error:
+            features = load_features(options.features)
+        except (SettingsError, PolicyError, FeaturesError) as error:
             print(f"pulleydeal: {error}", file=sys.stderr)
             return 2
         if options.command == "check":
-            print(f"{options.config}: good")
+            on = ", ".join(features.on()) or "nothing"
+            print(f"{options.config}: good; switched on: {on}")
             return 0
-        return serve(settings, policy)
+        return serve(settings, policy, features)
     if options.command == "policy":
         return check_policy(options.file)
     if options.command == "submit":
@@ -107,16 +116,13 @@
     return 0 if response.status < 300 else 1
 
 
-def serve(settings: Settings, policy: Policy) -> int:
-    level = LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
-    logging.basicConfig(
-        level=level, stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s"
-    )
+def serve(settings: Settings, policy: Policy, features: Features) -> int:
+    logs.setup()
     from pulleydeal.app import App  # only a node needs it; the other commands start faster
     from pulleydeal.clock import SystemClock
 
     async def run() -> None:
-        app = App(settings, SystemClock(), random.Random(), policy)
+        app = App(settings, SystemClock(), random.Random(), policy, features)
         await app.run()
 
     try:
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -248,7 +248,7 @@
             return msgspec.structs.replace(old, state="drain", why=why, at=wall)
 
         for machine in await self._rewrite(machines, drain, turn=Turn.LATER):
-            log.info("machine %s is to go: %s", machine.id, why)
+            log.info("machine %s is to go: %s", machine.id, why, extra={"machine": machine.id})
 
     # --- returning ------------------------------------------------------------------------
     async def give_back(self) -> None:
@@ -285,7 +285,12 @@
             if machine is not None and machine.record.state != "gone"
         ]:
             for machine in await self._rewrite(left, gone, turn=Turn.FIRST):
-                log.info("machine %s given back (%s)", machine.id, machine.record.why)
+                log.info(
+                    "machine %s given back (%s)",
+                    machine.id,
+                    machine.record.why,
+                    extra={"machine": machine.id},
+                )
 
     async def _rewrite(
         self,
--- a/pulleydeal/http.py
+++ b/pulleydeal/http.py
@@ -96,8 +96,8 @@
                 if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                     return
                 conn.start_next_cycle()
-        except (OSError, TimeoutError, h11.LocalProtocolError):
-            pass
+        except (OSError, TimeoutError, h11.LocalProtocolError, asyncio.CancelledError):
+            pass  # cancelled at the end of the process: asyncio would print a traceback for each
         finally:
             self._open -= 1
             self._crowd_open -= crowd
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -41,6 +41,7 @@
         self._beats: dict[str, tuple[float, Beat]] = {}
         self._written = 0  # changes sent by the last heartbeat
         self._writes = 0.0  # and lately, a second
+        self.serves: dict[str, int] = {}  # feature that is on here -> the format of its records
         self.totals: Callable[[], list[Total]] = list
         siblings.on(BEAT, self._on_beat)
 
@@ -74,16 +75,25 @@
             self._replica.formats.get(member, 0) >= format_ for member in self._replica.members
         )
 
+    def all_serve(self, feature: str, format_: int) -> bool:
+        """Every node of the settings has durably shown that it has the feature on, so that its
+        records may be relied on, whichever node comes to lead."""
+        nodes = [self.me, *(s.node_name for s in self._settings.siblings)]
+        return self.all_keep(c.FORMAT_FEATURES) and all(
+            self._replica.shown.get(node, {}).get(feature, 0) >= format_ for node in nodes
+        )
+
     def leads_job(self, spec: r.JobSpec) -> bool:
         """A limited team's jobs have one leader, which so holds the team's whole allowance."""
         team = self._settings.teams.get(spec.team)
         limited = team is not None and (team.cpus_max > 0 or team.gpus_max > 0)
-        return self._leads(f"team {spec.team}" if limited else f"job {spec.id}")
+        return self.leads(f"team {spec.team}" if limited else f"job {spec.id}")
 
     def leads_fleet(self) -> bool:
-        return self._leads("fleet")
+        return self.leads("fleet")
 
-    def _leads(self, thing: str) -> bool:
+    def leads(self, thing: str) -> bool:
+        """Whether this node decides about the named thing, in the present view."""
         return self.is_member and decide.pick(list(self.view.members), thing) == self.me
 
     def parts(self) -> dict[str, list[Total]]:
@@ -144,8 +154,10 @@
             log.info("replaces an earlier start of this node")
         member = r.member_key(self.me)
         puts: dict[str, object] = {member: r.Member(self.incarnation, c.FORMAT)}
-        if self._replica.software.get(self.me) != c.FORMAT:
-            puts[r.software_key(self.me)] = r.Software(c.FORMAT, __version__)
+        shown = (self._replica.software.get(self.me), self._replica.shown.get(self.me))
+        if shown != (c.FORMAT, self.serves):
+            software = r.Software(c.FORMAT, __version__, self.serves)
+            puts[r.software_key(self.me)] = software
         if not self.is_member:
             puts[r.VIEW] = decide.joined(view, self.me, self.incarnation)
         try:
@@ -157,7 +169,12 @@
             return
         if ok:
             self._renewed_at = self._clock.now()
-            log.info("member in epoch %d: %s", self.epoch, sorted(self.view.members))
+            log.info(
+                "member in epoch %d: %s",
+                self.epoch,
+                sorted(self.view.members),
+                extra={"epoch": self.epoch},
+            )
 
     async def _renew(self) -> None:
         assert self._lease is not None
@@ -183,7 +200,12 @@
             if vanished and await self._store.commit(
                 conditions, {r.VIEW: decide.without(self.view, vanished)}
             ):
-                log.info("epoch %d: without %s, whose lease ended", self.epoch, vanished)
+                log.info(
+                    "epoch %d: without %s, whose lease ended",
+                    self.epoch,
+                    vanished,
+                    extra={"epoch": self.epoch},
+                )
             return
         zones = {m: self._settings.zone_of(m) for m in self.view.members}
         changed = decide.with_cuts(
@@ -195,7 +217,9 @@
             {name for name, (_, beat) in self._beats.items() if self.me in beat.hears},
         )
         if changed is not None and await self._store.commit(conditions, {r.VIEW: changed}):
-            log.info("epoch %d: cut pairs now %s", self.epoch, self.view.cut)
+            log.info(
+                "epoch %d: cut pairs now %s", self.epoch, self.view.cut, extra={"epoch": self.epoch}
+            )
 
     async def beat(self) -> None:
         written = self._store.client.written
--- a/pulleydeal/membership/siblings.py
+++ b/pulleydeal/membership/siblings.py
@@ -133,7 +133,7 @@
                 handler = self._handlers.get(kind)
                 if handler is not None:
                     handler(name, payload)
-        except (OSError, EOFError):
+        except (OSError, EOFError, asyncio.CancelledError):
             pass
         except BadFrame as error:
             self._refuse(name, str(error))
--- /dev/null
+++ b/pulleydeal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface: what runs here, on a listener of its own."""
--- /dev/null
+++ b/pulleydeal/operators/service.py
@@ -0,0 +1,167 @@
+"""Answers operators on a listener of their own; loopback only, as it does not know who asks."""
+
+import itertools
+import logging
+import secrets
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from pulleydeal import __version__, logs
+from pulleydeal.features.settings import Features
+from pulleydeal.features.switch import Step
+from pulleydeal.http import Request, Response, Server, answer
+from pulleydeal.operators import constants as oc
+from pulleydeal.operators.routes import Asked, Problem, Route, Table, page
+from pulleydeal.store.job import Job
+from pulleydeal.store.reasons import shown
+
+if TYPE_CHECKING:
+    from pulleydeal.app import App
+
+log = logging.getLogger("pulleydeal.operators")
+STATES = ("open", "done", "cancelled", "all")
+
+
+class Operators:
+    def __init__(self, features: Features, app: "App", routes: Callable[[], list[Route]]) -> None:
+        assert features.operators is not None
+        self._listen = features.operators.listen
+        self._on = features.on()
+        self._app = app
+        self._replica = app.replica
+        self._all_routes = routes
+        self._table = Table()
+        self._start_id = secrets.token_hex(3)
+        self._serial = itertools.count(1)
+        self._server = Server(self.handle, oc.CONNECTIONS)
+
+    def loops(self) -> dict[str, Step]:
+        return {}
+
+    def routes(self) -> list[Route]:
+        paged = ("after", "limit")
+        return [
+            Route("GET", "/v1", "all that can be asked here", self._index),
+            Route("GET", "/v1/node", "this node, its view and its features", self._node),
+            Route("GET", "/v1/jobs", "jobs in the order of ids", self._jobs, (*paged, "state")),
+            Route("GET", "/v1/jobs/{job}", "a job with its tasks' places", self._job),
+            Route("GET", "/v1/machines", "machines with what is bound", self._machines, paged),
+            Route("GET", "/v1/teams", "teams, limits and what they use", self._teams),
+        ]
+
+    async def start(self) -> None:
+        self._table = Table(self._all_routes())
+        await self._server.start(self._listen)
+        log.info("operators are answered on %s", self._listen, extra={"feature": "operators"})
+
+    async def handle(self, request: Request) -> Response:
+        request_id = f"{self._start_id}-{next(self._serial)}"
+        with logs.request(request_id):
+            try:
+                route, asked = self._table.find(
+                    request.method, request.path, request.body, request_id
+                )
+                reply = answer(200, await route.handler(asked))
+            except Problem as problem:
+                log.info("%s %s: %s", request.method, request.path, problem.message)
+                reply = problem.answer(request_id)
+        reply.headers.append(("X-Request-Id", request_id))
+        return reply
+
+    # --- what every node can tell -----------------------------------------------------------
+    async def _index(self, asked: Asked) -> Any:
+        return {
+            "routes": [
+                {"method": x.method, "path": x.pattern, "query": list(x.query), "does": x.does}
+                for x in self._table.routes
+            ]
+        }
+
+    def _need_replica(self) -> None:
+        if not self._replica.loaded:
+            raise Problem(503, "not_ready", "the state is still being read", 1)
+
+    async def _node(self, asked: Asked) -> Any:
+        membership = self._app.membership
+        return {
+            "node": membership.me,
+            "version": __version__,
+            "ready": self._app.submissions.ready,
+            "epoch": membership.epoch,
+            "members": sorted(membership.view.members),
+            "cut": membership.view.cut,
+            "revision": self._replica.revision,
+            "features": self._on,
+            "shown": {
+                node: {"format": format_, "features": self._replica.shown.get(node, {})}
+                for node, format_ in sorted(self._replica.software.items())
+            },
+        }
+
+    async def _jobs(self, asked: Asked) -> Any:
+        self._need_replica()
+        state = asked.choice("state", STATES, "open")
+        jobs = self._replica.jobs
+        names = self._replica.open_jobs if state == "open" else jobs
+        kept = (n for n in names if state == "all" or _status(jobs[n]) == state)
+        return page(asked, kept, lambda name: _summary(jobs[name]))
+
+    async def _job(self, asked: Asked) -> Any:
+        self._need_replica()
+        job = self._replica.jobs.get(asked.params["job"])
+        if job is None or job.record is None:
+            raise Problem(404, "no_such_job", f"no job {asked.params['job']!r} is known here")
+        tasks = [
+            {"task": index, "machine": task.machine, "attempt": task.attempt}
+            for index, task in sorted(job.bindings())[: oc.PAGE_MOST]
+        ]
+        last = {"last_stop": shown(job.last_stop)} if job.last_stop else {}
+        return _summary(job) | {"bound": tasks} | last
+
+    async def _machines(self, asked: Asked) -> Any:
+        self._need_replica()
+        return page(asked, self._replica.machines, self._machine)
+
+    def _machine(self, name: str) -> dict[str, Any]:
+        record = self._replica.machines[name].record
+        bound = self._replica.bound.get(name, {})
+        return {
+            "machine": name,
+            "state": record.state,
+            "type": record.type,
+            "zone": record.zone,
+            "spot": record.spot,
+            "why": record.why,
+            "bound": [f"{job}/{index}" for job, index in sorted(bound)],
+        }
+
+    async def _teams(self, asked: Asked) -> Any:
+        self._need_replica()
+        used = self._replica.usage()
+        return {
+            "items": [
+                {
+                    "team": team.name,
+                    "cpus": used.get(team.name, (0.0, 0.0))[0],
+                    "gpus": used.get(team.name, (0.0, 0.0))[1],
+                    "guaranteed": {"cpus": team.cpus, "gpus": team.gpus},
+                    "most": {"cpus": team.cpus_max, "gpus": team.gpus_max},
+                }
+                for team in self._app.teams.values()
+            ]
+        }
+
+
+def _status(job: Job) -> str:
+    if job.record is None:
+        return ""
+    return "cancelled" if job.is_cancelled else job.record.status
+
+
+def _summary(job: Job) -> dict[str, Any]:
+    assert job.record is not None
+    found = {"job": job.id, "state": _status(job), "tasks": job.record.tasks}
+    if job.spec is not None:
+        found |= {"class": job.spec.klass, "team": job.spec.team, "kind": job.spec.kind}
+        found |= {"done": job.done, "running": job.bound}
+    return found
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -462,5 +462,11 @@
                 self._last[key] = task.machine
                 if task.attempt == 1:
                     self._metrics.start_wait.observe(wait)
-                log.info("bound %s/%d attempt %d to %s", *key, task.attempt, task.machine)
+                log.info(
+                    "bound %s/%d attempt %d to %s",
+                    *key,
+                    task.attempt,
+                    task.machine,
+                    extra={"job": key[0], "task": key[1], "machine": task.machine},
+                )
         self._wake.set()
--- a/pulleydeal/store/records.py
+++ b/pulleydeal/store/records.py
@@ -9,7 +9,8 @@
   p/r/<request>   a rental that may have been asked for and not yet been recorded
   p/catalog       the machine types, so that a node can start while the cloud is down
   p/t/<k>         more machine types, where one value does not hold them all
-  p/s/<node>      which records a node's version can keep; stays when the node is away
+  p/s/<node>      which records a node's version can keep, and its features; stays when it is away
+  p/f/<feature>/<name>   a feature's own records; read only where the feature is on
 
 Other versions read and rewrite these too. A rewrite by an older version drops the fields that it
 does not know, and a new value of a closed set stops it; so fields are only added, at the end,
@@ -25,6 +26,7 @@
 PREFIX = "p/"
 VIEW = "p/view"
 CATALOG = "p/catalog"
+FEATURE_NAME = r"^[A-Za-z0-9._-]{1,40}(/[A-Za-z0-9._-]{1,60}){0,4}$"  # 200 B is the most for a key
 NOTHING = "p-nothing"  # never written: reading it tells the revision and nothing else
 
 Status = Literal["open", "done", "cancelled"]
@@ -78,9 +80,10 @@
     format: int = 0  # constants.FORMAT of the version that runs; 0: the one before there was any
 
 
-class Software(Struct):
+class Software(Struct, omit_defaults=True):
     format: int
     version: str
+    features: dict[str, int] = {}  # feature that is on -> the format of its own records
 
 
 class View(Struct):
@@ -152,6 +155,10 @@
     return f"p/s/{node}"
 
 
+def feature_key(feature: str, name: str) -> str:
+    return f"p/f/{feature}/{name}"
+
+
 CHUNK = msgspec.json.Decoder(list[Task])
 JOB = msgspec.json.Decoder(JobRecord)
 MACHINE = msgspec.json.Decoder(MachineRecord)
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -30,8 +30,9 @@
     record: r.RentalRecord
 
 
-# (kind, id): view, member, software, job, machine, rental, catalog; `bound` names a machine whose
-# bindings changed, so that nobody has to look at all machines or at all tasks of a job.
+# (kind, id): view, member, software, job, machine, rental, catalog, feature; `bound` names a
+# machine whose bindings changed, so that nobody has to look at all machines or at all tasks of a
+# job.
 Listener = Callable[[str, str], None]
 
 
@@ -41,6 +42,9 @@
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._listeners: list[Listener] = []
+        # Feature that is on -> its records by name, with their versions. What belongs to others
+        # is not kept.
+        self._features: dict[str, dict[str, tuple[bytes, int]]] = {}
         self._waiting: list[tuple[int, asyncio.Future[None]]] = []
         self._clear()
 
@@ -54,6 +58,9 @@
         self.members: dict[str, str] = {}
         self.formats: dict[str, int] = {}  # member -> records that its version keeps
         self.software: dict[str, int] = {}  # node -> the same, durably, also while it is away
+        self.shown: dict[str, dict[str, int]] = {}  # node -> features that it has on
+        for kept in self._features.values():
+            kept.clear()
         self.view = r.View()
         self.view_version = 0
         self.catalog = r.Catalog()
@@ -69,6 +76,10 @@
         self._versions: dict[str, int] = {}
         self._deleted: dict[str, int] = {}
 
+    def keep_feature(self, feature: str) -> dict[str, tuple[bytes, int]]:
+        """From the next load on, that feature's records are kept; they show in the result."""
+        return self._features.setdefault(feature, {})
+
     def listen(self, listener: Listener) -> None:
         self._listeners.append(listener)
 
@@ -142,8 +153,15 @@
             self.formats[rest] = member.format
             return "member", rest
         if kind == "s":
-            self.software[rest] = r.SOFTWARE.decode(value).format
+            software = r.SOFTWARE.decode(value)
+            self.software[rest], self.shown[rest] = software.format, software.features
             return "software", rest
+        if kind == "f":
+            feature, _, name = rest.partition("/")
+            if feature not in self._features:
+                return None
+            self._features[feature][name] = (value, version)
+            return "feature", rest
         if kind == "view":
             self.view = r.VIEW_DECODER.decode(value)
             self.view_version = version
@@ -180,6 +198,10 @@
         if kind == "t":
             self.more_types.pop(rest, None)
             return self._know_types()
+        if kind == "f":
+            feature, _, name = rest.partition("/")
+            if self._features.get(feature, {}).pop(name, None) is not None:
+                return "feature", rest
         return None
 
     def _know_types(self) -> tuple[str, str]:
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -263,6 +263,7 @@
                     entry.attempt,
                     station.id,
                     entry.state,
+                    extra={"job": task_id[0], "task": task_id[1], "machine": station.id},
                 )
 
     async def _adopt(self, report: m.Report) -> None:
@@ -285,6 +286,7 @@
                     report.machine,
                     report.zone,
                     " (spot)" if report.spot else "",
+                    extra={"machine": report.machine},
                 )
         finally:
             self._writing.discard(report.machine)
@@ -339,6 +341,7 @@
             gone.machine,
             gone.outcome,
             shown(gone.detail),
+            extra={"job": gone.job, "task": gone.index, "machine": gone.machine},
         )
         self._metrics.stops.labels(gone.outcome).inc()
         future = self._store.change_job(
@@ -365,6 +368,12 @@
             station.id,
             how,
             self._membership.epoch,
+            extra={
+                "job": start[0],
+                "task": start[1],
+                "machine": station.id,
+                "epoch": self._membership.epoch,
+            },
         )
 
     # --- direct orders ----------------------------------------------------------------------
@@ -501,7 +510,7 @@
         key = r.machine_key(machine)
         conditions = {key: old.version, r.VIEW: self._replica.view_version}
         if await self._store.commit(conditions, {key: record}):
-            log.info("machine %s is to go: %s", machine, why)
+            log.info("machine %s is to go: %s", machine, why, extra={"machine": machine})
 
     def _drain_for_notice(self, station: Station, now: float) -> None:
         assert station.notice_at is not None
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,110 @@
+"""`run.py demo`: the whole service on loopback in one command, with a job and a pipeline."""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+from pulleydeal.http import Client, NoAnswer
+from standins.town import Town, TownError, job
+
+FIRST_PORT = 8080
+JOBS = {"j-1": [], "j-2": ["j-1"], "j-3": ["j-1", "j-2"]}
+DONE_S = 180.0  # the demo's jobs take some 40 s; later than this something is wrong
+ASK_S = 1.0
+
+
+def parser() -> argparse.ArgumentParser:
+    words = argparse.ArgumentParser(prog="run.py demo", description=__doc__)
+    words.add_argument("--nodes", type=int, default=3, help="how many (default: 3)")
+    words.add_argument("--for", dest="seconds", type=float, help="serve so long after the jobs")
+    words.add_argument("--port", type=int, default=FIRST_PORT, help="first of its ports")
+    words.add_argument("--dir", type=Path, help="for settings, logs, jobs (default: a new one)")
+    words.add_argument("--setup", action="store_true", help="install what a node needs first")
+    return words
+
+
+async def submit(town: Town, name: str, body: dict[str, object]) -> str:
+    """Submits as a user does: one node after the other until one decides."""
+    for turn in range(60):
+        address = list(town.nodes.values())[turn % len(town.nodes)]
+        client = Client(address, town.clock)
+        with contextlib.suppress(NoAnswer):
+            status, reply = await client.request("POST", "/submissions", body, 5.0)
+            client.close()
+            if status in (200, 201):
+                return address
+            if status in (400, 422):
+                raise TownError(f"{name} was refused: {status} {reply.decode()}")
+        await asyncio.sleep(1.0)
+    raise TownError(f"{name} was not accepted")
+
+
+async def state(town: Town, name: str) -> dict[str, object]:
+    for address in town.nodes.values():
+        client = Client(address, town.clock)
+        with contextlib.suppress(NoAnswer):
+            status, reply = await client.request("GET", f"/submissions/{name}", None, 2.0)
+            client.close()
+            if status == 200:
+                return dict(json.loads(reply))
+    return {"tension": "unknown"}
+
+
+async def follow(town: Town) -> None:
+    """Tells each change of the demo's jobs until all are done."""
+    told: dict[str, str] = {}
+    began = town.now()
+    while not all(line.startswith("done") for line in told.values()) or len(told) < len(JOBS):
+        if town.now() - began > DONE_S:
+            raise TownError(f"not done after {DONE_S:.0f} s: {told}; logs are in {town.folder}")
+        for name in JOBS:
+            now = await state(town, name)
+            line = f"{now['tension']}, {now.get('done', 0)} done, {now.get('running', 0)} running"
+            if now.get("note"):
+                line += f" ({now['note']})"
+            if told.get(name) != line:
+                told[name] = line
+                print(f"{town.now() - began:6.1f} s  {name}: {line}", flush=True)
+        await asyncio.sleep(ASK_S)
+
+
+async def play(town: Town, seconds: float | None) -> None:
+    try:
+        await town.start()
+        nodes = ", ".join(f"{n} {a}" for n, a in town.nodes.items())
+        print(f"serving: {nodes}; settings, logs and jobs in {town.folder}", flush=True)
+        for name, needed in JOBS.items():
+            body = job(name, waits_on=needed)
+            (town.folder / "jobs" / f"{name}.json").write_text(json.dumps(body, indent=2))
+            address = await submit(town, name, body)
+            print(f"{name} accepted by {address}", flush=True)
+        await follow(town)
+        more = "until Ctrl-C" if seconds is None else f"for {seconds:.0f} s more"
+        first = next(iter(town.nodes.values()))
+        print(
+            f"all done; serving {more}. Try: python3 run.py status j-3 --node {first}", flush=True
+        )
+        await asyncio.sleep(seconds if seconds is not None else 1e9)
+    finally:
+        await town.stop()
+
+
+def main(argv: list[str]) -> int:
+    options = parser().parse_args(argv)
+    if not 1 <= options.nodes <= 9:
+        print("demo: --nodes takes 1 to 9", file=sys.stderr)
+        return 2
+    folder = options.dir or Path(tempfile.mkdtemp(prefix="pulleydeal-demo-"))
+    try:
+        town = Town(folder, options.nodes, options.port)
+        asyncio.run(play(town, options.seconds))
+    except TownError as error:
+        print(f"demo: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        print("ended")
+    return 0
