--- /dev/null
+++ b/experiments/__main__.py
@@ -0,0 +1,37 @@
+"""python3 -m experiments NAME [--quick] [--seed N] [--out DIR]"""
+
+import argparse
+import asyncio
+import importlib
+import sys
+import time
+from pathlib import Path
+
+from rich.console import Console
+
+from experiments import report as reports
+
+# Each module has ABOUT and `async def run(quick: bool, seed: int) -> Report`.
+NAMES = ("history", "overload", "startup")
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="python3 -m experiments", description=__doc__)
+    parser.add_argument("name", choices=NAMES)
+    parser.add_argument("--quick", action="store_true", help="small, under 30 s")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--out", type=Path, default=Path("target/experiments"))
+    options = parser.parse_args()
+    module = importlib.import_module(f"experiments.{options.name}")
+    began = time.monotonic()
+    report = asyncio.run(module.run(options.quick, options.seed))
+    console = Console(width=max(100, Console().width))
+    reports.show(report, console)
+    reports.write(report, options.out, {"quick": options.quick, "seed": options.seed})
+    took = time.monotonic() - began
+    console.print(f"{took:.0f} s; written to {options.out}", highlight=False)
+    return 0 if report.held else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/experiments/history.py
@@ -0,0 +1,65 @@
+"""What jobs that are over cost a node: memory, processor time of loading, pages read."""
+
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from experiments.processes import cpu_s, memory_mb
+from experiments.report import Plot, Report
+from pulleydeal.http import Client
+from standins.town import Town
+
+ABOUT = "one node starts over a state service full of jobs that are over"
+SIZES = (0, 10_000, 100_000, 1_000_000)
+QUICK = (0, 5_000, 20_000)
+
+
+def over(index: int) -> dict[str, Any]:
+    """A slim record, as it stays when a job is over and all its tasks are gone."""
+    return {"status": "done", "tasks": 4, "at": 1.7e9 + index, "ended": 1.7e9 + index + 60.0}
+
+
+async def measure(jobs: int) -> dict[str, Any]:
+    with tempfile.TemporaryDirectory(prefix="pulleydeal-history-") as folder:
+        town = Town(Path(folder), nodes=1, limits={"rps": 200.0})
+        for index in range(jobs):
+            town.state.put(f"p/j/j-{index:09d}", over(index))
+        try:
+            town.up_s = 600.0
+            await town.start()
+            pid = town.processes["node-0"].pid
+            cpu, memory = cpu_s(pid), memory_mb(pid)
+            client = Client(town.nodes["node-0"], town.clock)
+            _, text = await client.request("GET", "/metrics")
+            client.close()
+            requests = [x for x in text.decode().splitlines() if x.startswith("pulleydeal_state_r")]
+            return {
+                "jobs over": jobs,
+                "memory MB": memory,
+                "processor s until it serves": cpu,
+                "state requests": int(float(requests[0].split()[1])),
+            }
+        finally:
+            await town.stop()
+
+
+async def run(quick: bool, seed: int) -> Report:
+    report = Report("history", ABOUT)
+    for jobs in QUICK if quick else SIZES:
+        report.rows.append(await measure(jobs))
+    empty = report.rows[0]
+    for row in report.rows[1:]:
+        more = row["memory MB"] - empty["memory MB"]
+        row["B a job"] = more * 2**20 / row["jobs over"]
+    last = report.rows[-1]
+    # What is so today, so that it is noticed when it grows; the aim is under 16 B a job.
+    report.bound("under 800 B a job that is over", last["B a job"] < 800)
+    report.plots.append(
+        Plot(
+            "Memory of a node by jobs that are over",
+            "jobs over",
+            "MB",
+            {"now": [(r["jobs over"], r["memory MB"]) for r in report.rows]},
+        )
+    )
+    return report
--- a/standins/state.py
+++ b/standins/state.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from bisect import bisect_left, bisect_right
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -17,6 +18,7 @@
         self._rng = random.Random(seed)
         self.ledger = 0
         self.keys: dict[str, tuple[Any, int, int | None]] = {}  # data, mark, charter
+        self._sorted: list[str] | None = None  # the keys in order, until one comes or goes
         self._holds: dict[int, list[float]] = {}  # charter -> [ends, ttl]
         self._log: list[dict[str, Any]] = []
         self._changed = asyncio.Event()
@@ -93,6 +95,8 @@
     def _apply(self, changes: list[dict[str, Any]]) -> None:
         self.ledger += 1
         for change in changes:
+            if change.get("set", "") not in self.keys:
+                self._sorted = None  # a key more, or one less
             if "set" in change:
                 self.keys[change["set"]] = (change["data"], self.ledger, change.get("charter"))
                 event = {"set": change["set"], "data": change["data"], "mark": self.ledger}
@@ -163,10 +167,14 @@
         return answer(200, {"ledger": self.ledger})
 
     def _page(self, query: dict[str, str]) -> Response:
-        names = sorted(
-            k for k in self.keys if k.startswith(query["under"]) and k > query.get("after", "")
-        )
-        limit = int(query.get("limit", 1000))
+        if self._sorted is None:
+            self._sorted = sorted(self.keys)
+        under, limit = query["under"], int(query.get("limit", 1000))
+        after = query.get("after", "")
+        first = bisect_right(self._sorted, after) if after >= under else 0
+        first = max(first, bisect_left(self._sorted, under))
+        names = self._sorted[first : first + limit + 1]
+        names = [name for name in names if name.startswith(under)]
         entries = [
             {"k": k, "data": self.keys[k][0], "mark": self.keys[k][1]} for k in names[:limit]
         ]
--- a/standins/town.py
+++ b/standins/town.py
@@ -24,7 +24,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LOCAL = "127.0.0.1"
-UP_S = 30.0  # a node that does not serve by then has failed
+UP_S = 30.0  # until a node serves, usually
 BOOT_S = 3.0  # machines of this world boot faster than real ones
 PORTS_PER_NODE = 3  # users and workers, other nodes, operators
 
@@ -100,6 +100,7 @@
         self.nodes = {name: f"{LOCAL}:{p[0]}" for name, p in zip(names, own, strict=True)}
         self._back = {name: f"{LOCAL}:{p[1]}" for name, p in zip(names, own, strict=True)}
         self.operators = {name: p[2] for name, p in zip(names, own, strict=True)}
+        self.up_s = UP_S  # a node that does not serve by then has failed
         self.zone_of = {name: ZONES[i % len(ZONES)] for i, name in enumerate(names)}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.ended: dict[str, int] = {}  # nodes that ended by themselves -> exit code
@@ -186,7 +187,7 @@
         began = self.now()
         client = Client(self.nodes[name], self.clock)
         try:
-            while self.now() - began < UP_S and name not in self.ended:
+            while self.now() - began < self.up_s and name not in self.ended:
                 with contextlib.suppress(NoAnswer):
                     if (await client.request("GET", "/up", None, 1.0))[0] == 200:
                         return self.now() - began
--- /dev/null
+++ b/tests/test_experiments.py
@@ -0,0 +1,98 @@
+"""The load generator, by a virtual clock; reports and exits; the demo's ports."""
+
+import asyncio
+import json
+import random
+import socket
+from pathlib import Path
+
+import pytest
+from rich.console import Console
+
+from experiments.load import Result, play
+from experiments.report import Plot, Report, show, write
+from standins.demo import main as demo
+from standins.scenario import LoopClock, virtually
+from standins.state import StateService
+from standins.town import Town, TownError
+
+
+def test_requests_leave_when_due_and_latency_counts_from_then() -> None:
+    """A service that stalls for a second shows as a second for all who came meanwhile."""
+    results: list[Result] = []
+
+    async def work(clock: LoopClock) -> None:
+        async def stalls(number: int) -> str:
+            now = clock.now()
+            await asyncio.sleep(max(0.0, 6.0 - now) if now > 5.0 else 0.001)
+            return "200" if number % 10 else "503"
+
+        results.append(await play(stalls, 100.0, 10.0, clock, random.Random(1)))
+
+    virtually(work)
+    result = results[0]
+    assert 900 < sum(result.counts.values()) < 1100
+    assert result.counts["503"] == pytest.approx(sum(result.counts.values()) / 10, abs=1)
+    assert result.ms(50) < 5
+    # A tenth of all came in the stalled second, and waited half of it on average.
+    assert 400 < result.ms(95) < 700 and 900 < result.ms(99.9) < 1010
+    assert result.late_s < 0.001 and result.ms(99, "none") == 0.0
+
+
+def test_a_report_is_a_table_json_and_a_plot_and_fails_with_a_bound(tmp_path: Path) -> None:
+    report = Report("trial", "a test", [{"x": 1, "ms": 2.34567}, {"x": 2}])
+    report.plots.append(Plot("t", "x", "y", {"a": [(1, 2), (2, 3)]}))
+    report.bound("ms under 3", True)
+    assert report.held
+    report.bound("ms under 2", False)
+    assert not report.held
+    write(report, tmp_path, {"seed": 1})
+    found = json.loads((tmp_path / "trial.json").read_text())
+    assert found["rows"][0]["ms"] == 2.34567 and found["bounds"][1]["held"] is False
+    first = (tmp_path / "trial.svg").read_text()
+    assert "<svg" in first
+    write(report, tmp_path, {"seed": 1})
+    assert (tmp_path / "trial.svg").read_text() == first  # the same input, the same picture
+    console = Console(record=True, width=100, quiet=False, file=open("/dev/null", "w"))  # noqa: SIM115
+    show(report, console)
+    text = console.export_text()
+    assert "2.346" in text and "NOT HELD: ms under 2" in text
+
+
+def test_a_port_in_use_is_one_clear_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with socket.socket() as holder:
+        holder.bind(("127.0.0.1", 0))
+        holder.listen()
+        port = holder.getsockname()[1]
+        with pytest.raises(TownError, match=f"port {port} is in use"):
+            Town(tmp_path, 1, port)
+        assert demo(["--port", str(port), "--dir", str(tmp_path)]) == 1
+    assert demo(["--nodes", "0"]) == 2
+    told = capsys.readouterr().err.strip().splitlines()
+    assert len(told) == 2 and f"port {port} is in use" in told[0]
+
+
+def test_the_stand_in_pages_through_many_keys_as_they_come_and_go() -> None:
+    async def work(clock: LoopClock) -> None:
+        state = StateService(1)
+        for i in range(50):
+            state.put(f"p/j/j-{i:03d}", i)
+        state.put("q/other", 0)
+        seen: list[str] = []
+        after = ""
+        while True:
+            query = {"under": "p/", "limit": "7"} | ({"after": after} if after else {})
+            body = json.loads(state._page(query).body)
+            seen += [entry["k"] for entry in body["entries"]]
+            if not body["truncated"]:
+                break
+            after = seen[-1]
+            if len(seen) == 14:
+                state.put("p/j/j-014x", 1)
+                state._apply([{"drop": "p/j/j-015"}])
+        assert seen == sorted(seen) and len(seen) == 50
+        assert "p/j/j-014x" in seen and "p/j/j-015" not in seen and "q/other" not in seen
+
+    virtually(work)
--- /dev/null
+++ b/tests/test_features.py
@@ -0,0 +1,253 @@
+"""features.toml, what is loaded for it, the operators' interface, features' records, logs."""
+
+import asyncio
+import io
+import json
+import logging
+import random
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from pulleydeal import logs
+from pulleydeal.app import App
+from pulleydeal.cli import main
+from pulleydeal.features.records import Records
+from pulleydeal.features.settings import Features, FeaturesError, OperatorsSettings, load
+from pulleydeal.http import Request
+from pulleydeal.operators import constants as oc
+from pulleydeal.operators.routes import Asked, Problem, Route, Table, page
+from pulleydeal.operators.service import Operators
+from pulleydeal.store import records as r
+from standins.scenario import Scenario
+
+SETTINGS = Path(__file__).parent / "traces" / "settings.json"
+ROOT = Path(__file__).resolve().parent.parent
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("[operators]\nlisten = '127.0.0.1:9000'\n[cron]", "at the top: .*unknown field `cron`"),
+        ("[operators]", "operators: .*missing required field `listen`"),
+        ("[operators]\nlisten = 9000", "operators.listen: Expected `str`, got `int`"),
+        ("[operators]\nlisten = 'here'", "operators.listen: "),
+        ("[operators]\nlisten = '10.0.0.1:9000'", "operators.listen: 10.0.0.1 can be reached"),
+        ("[operators]\nlisten = '0.0.0.0:9000'", "operators.listen: 0.0.0.0 can be reached"),
+        ("[operators]\nlisten = '127.0.0.1:0'", "operators.listen: 0 is no port"),
+        ("[operators]\nlisten = '127.0.0.1:1'\nport = 2", "operators: .*unknown field `port`"),
+        ("a = 1\noperators = ]", "line 2, column 13"),
+        ("a = " + "[" * 5000, "features.toml: "),
+    ],
+)
+def test_a_fault_is_told_with_its_place(tmp_path: Path, text: str, told: str) -> None:
+    path = tmp_path / "features.toml"
+    path.write_text(text)
+    with pytest.raises(FeaturesError, match=f"features.toml: .*{told}|{told}"):
+        load(path)
+    assert main(["check", "--config", str(SETTINGS), "--features", str(path)]) == 2
+
+
+def test_without_a_file_or_a_section_all_is_off(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert load(tmp_path / "none.toml") == load(None) == Features()
+    path = tmp_path / "features.toml"
+    path.write_text("# nothing\n")
+    assert load(path).on() == []
+    path.write_text("[operators]\nlisten = '127.0.0.1:9000'\n")
+    assert load(path).on() == ["operators"]
+    assert main(["check", "--config", str(SETTINGS), "--features", str(path)]) == 0
+    assert "switched on: operators" in capsys.readouterr().out
+    assert load(ROOT / "deploy" / "features.toml").on() == []  # as the platform runs it
+
+
+def test_what_is_off_is_not_imported() -> None:
+    code = (
+        "import sys; from pulleydeal.app import App; import pulleydeal.cli;"
+        "print([m for m in sys.modules if m.startswith(('pulleydeal.operators',"
+        " 'pulleydeal.features.records', 'pulleydeal.rollouts', 'tomllib', 'pythonjsonlogger'))])"
+    )
+    found = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    assert found.stdout.strip() == "[]"
+
+
+# --- the operators' interface ----------------------------------------------------------------
+def get(table: Table, target: str, method: str = "GET") -> tuple[Route, Asked]:
+    return table.find(method, target, b"", "r-1")
+
+
+async def _nothing(asked: Asked) -> Any:
+    return asked.params
+
+
+TABLE = Table(
+    [
+        Route("GET", "/v1/jobs", "", _nothing, ("limit",)),
+        Route("GET", "/v1/jobs/{job}", "", _nothing),
+        Route("POST", "/v1/jobs/{job}/stop", "", _nothing),
+    ]
+)
+
+
+def test_routes_are_found_by_path_and_method_and_other_queries_are_refused() -> None:
+    assert get(TABLE, "/v1/jobs/j%2D7")[1].params == {"job": "j-7"}
+    for target, method, status in [
+        ("/v1/none", "GET", 404),
+        ("/v1/jobs/j-1/stop", "GET", 405),
+        ("/v1/jobs?after=x", "GET", 400),
+    ]:
+        with pytest.raises(Problem) as caught:
+            get(TABLE, target, method)
+        assert caught.value.status == status and caught.value.message
+
+
+def test_pages_are_bounded_and_lead_to_all_items_once() -> None:
+    names = [f"n-{i:04d}" for i in range(750)]
+    seen: list[str] = []
+    after = ""
+    while True:
+        asked = Asked({}, {"limit": "200", "after": after}, b"", "")
+        found = page(asked, reversed(names), str)
+        seen += found["items"]
+        if found["next"] is None:
+            break
+        after = found["next"]
+    assert seen == names
+    for bad in ("0", "-1", "x", "1e3", str(oc.PAGE_MOST + 1), "9" * 400, "²"):
+        with pytest.raises(Problem):
+            page(Asked({}, {"limit": bad}, b"", ""), names, str)
+
+
+def app(features: Features) -> App:
+    """A node that was never started, with one job and one machine in its replica."""
+    scenario = Scenario.__new__(Scenario)
+    scenario._nodes = {f"winch-{i}": f"10.0.0.{i + 1}" for i in range(3)}
+    node = App(scenario._settings("winch-0"), _Clock(), random.Random(1), None, features)
+    spec = r.JobSpec("j-1", "c", "core", "array", 1, 2, 1.0, 1.0, 1.0, "img", 1.0)
+    puts = {
+        r.job_key("j-1"): r.JobRecord("open", 2, 1.0, spec),
+        r.chunk_key("j-1", 0): [r.Task("vm-1", 1), r.Task()],
+        r.job_key("j-2"): r.JobRecord("done", 1, 1.0),
+        r.machine_key("vm-1"): r.MachineRecord("up", "t4", "east", False),
+    }
+    node.replica.committed({k: msgspec.json.encode(v) for k, v in puts.items()}, [], 5)
+    return node
+
+
+class _Clock:
+    def now(self) -> float:
+        return 0.0
+
+    wall = now
+
+
+def ask(node: App, path: str) -> tuple[int, Any, dict[str, str]]:
+    feature = node.features[0]
+    assert isinstance(feature, Operators)
+    feature._table = Table(feature._all_routes())
+    reply = asyncio.run(feature.handle(Request("GET", path, b"")))
+    return reply.status, json.loads(reply.body), dict(reply.headers)
+
+
+def test_operators_are_shown_jobs_machines_teams_and_the_node() -> None:
+    node = app(Features(OperatorsSettings("127.0.0.1:9000")))
+    status, body, _ = ask(node, "/v1/jobs")
+    assert status == 503 and body["error"]["code"] == "not_ready"
+    node.replica.end_load(5)
+    assert [x["job"] for x in ask(node, "/v1/jobs")[1]["items"]] == ["j-1"]
+    assert [x["job"] for x in ask(node, "/v1/jobs?state=all&limit=1")[1]["items"]] == ["j-1"]
+    assert [x["state"] for x in ask(node, "/v1/jobs?state=done")[1]["items"]] == ["done"]
+    assert ask(node, "/v1/jobs/j-1")[1]["bound"] == [{"task": 0, "machine": "vm-1", "attempt": 1}]
+    assert ask(node, "/v1/machines")[1]["items"][0]["bound"] == ["j-1/0"]
+    assert ask(node, "/v1/teams")[1]["items"][0] | {"most": 0, "guaranteed": 0} == {
+        "team": "core",
+        "cpus": 1.0,
+        "gpus": 1.0,
+        "most": 0,
+        "guaranteed": 0,
+    }
+    assert ask(node, "/v1/node")[1]["features"] == ["operators"]
+    paths = {x["path"] for x in ask(node, "/v1")[1]["routes"]}
+    assert {"/v1", "/v1/node", "/v1/jobs", "/v1/jobs/{job}", "/v1/machines"} <= paths
+    status, body, headers = ask(node, "/v1/jobs/j-9")
+    assert status == 404 and body["error"]["request"] == headers["X-Request-Id"]
+    assert "j-9" in body["error"]["message"]
+
+
+# --- records of features ---------------------------------------------------------------------
+def test_records_count_only_when_every_node_has_the_feature_on() -> None:
+    node = app(Features())
+    records = Records("trial", 2, node.membership, node.store)
+    replica = node.replica
+
+    def put(key: str, value: object, version: int) -> None:
+        replica.committed({key: msgspec.json.encode(value)}, [], version)
+
+    put(r.feature_key("trial", "a/b"), {"x": 1}, 6)
+    put(r.feature_key("other", "a"), {"x": 2}, 7)
+    assert list(records.names()) == ["a/b"] and records.mark("a/b") == 6
+    assert records.get("a/b", dict) == {"x": 1} and records.get("none", dict) is None
+    replica.end_load(7)
+    put(r.VIEW, r.View(1, {"winch-0": node.membership.incarnation}), 8)
+    for version, name in enumerate(("winch-0", "winch-1"), 10):
+        put(r.software_key(name), r.Software(2, "0.3.0", {"trial": 2}), version)
+    put(r.software_key("winch-2"), r.Software(2, "0.3.0"), 12)
+    assert not records.ready  # winch-2 has it off
+    put(r.software_key("winch-2"), r.Software(2, "0.3.0", {"trial": 1}), 13)
+    assert not records.ready  # and now an older format of it
+    put(r.software_key("winch-2"), r.Software(2, "0.3.0", {"trial": 2}), 14)
+    assert records.ready
+    put(r.software_key("winch-2"), r.Software(1, "0.2.0"), 15)
+    assert not records.ready  # put back to an older version
+
+
+def test_a_commit_of_records_stands_on_the_view_and_on_what_it_read() -> None:
+    node = app(Features())
+    records = Records("trial", 1, node.membership, node.store)
+    asked: list[tuple[dict[str, int], list[str]]] = []
+
+    async def commit(
+        conditions: dict[str, int], puts: dict[str, object], drops: list[str], turn: object
+    ) -> bool:
+        asked.append((conditions, [*puts, *drops]))
+        return True
+
+    node.store.commit = commit  # type: ignore[method-assign, assignment]
+    done = records.commit({"a": 3, "b": 0}, {"a": 1}, ["b"], {"p/j/j-1": 1}, {"p/j/j-1": 0})
+    assert asyncio.run(done)
+    conditions = {r.VIEW: 0, "p/f/trial/a": 3, "p/f/trial/b": 0, "p/j/j-1": 0}
+    assert asked == [(conditions, ["p/f/trial/a", "p/j/j-1", "p/f/trial/b"])]
+
+
+# --- logs ------------------------------------------------------------------------------------
+def logged(kind: str) -> str:
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(logs.formatter(kind))
+    handler.addFilter(logs._Requests())
+    log = logging.Logger("pulleydeal.trial")
+    log.addHandler(handler)
+    with logs.request("ab-1"):
+        log.info("run %s/%d on %s", "j-1", 3, "vm-1", extra={"job": "j-1", "task": 3})
+    return stream.getvalue().strip()
+
+
+def test_the_same_fields_as_text_and_as_json() -> None:
+    assert logged("text") == "INFO pulleydeal.trial: run j-1/3 on vm-1 [request=ab-1]"
+    found = json.loads(logged("json"))
+    assert found.pop("time")
+    assert found == {
+        "level": "INFO",
+        "logger": "pulleydeal.trial",
+        "message": "run j-1/3 on vm-1",
+        "job": "j-1",
+        "task": 3,
+        "request": "ab-1",
+    }
