Decides health-gated roll-outs: steps, floor, surge, return, refill (not switched on yet)

Need: a bad version that starts and then fails must not replace a good one everywhere. Change: pulleydeal/rollouts: descriptions checked as a whole, a copy is a job of one task, decisions are plain functions over the record and what is seen; registrations, checks and which of them count; the leader's transactions; the interfaces of operators, copies and consumers. Off: nothing is imported.

--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -100,6 +100,7 @@
         self.server = Server(self.handle, sockets, crowd="/submissions")
 
         self.features = switched_on(features or Features(), self)
+        self._paths = {part: h for feature in self.features for part, h in feature.paths().items()}
 
     async def handle(self, request: Request) -> Response:
         path = request.path.partition("?")[0]
@@ -109,6 +110,8 @@
             return await self.workers.checkin(request)
         if path == "/submissions" or path.startswith("/submissions/"):
             return await self.submissions.handle(request)
+        if (handler := self._paths.get(path.split("/")[1])) is not None:
+            return await handler(request)
         if request.method != "GET":
             return answer(404 if path not in ("/up", "/metrics") else 405, {"error": path})
         if path == "/up":
--- a/pulleydeal/features/records.py
+++ b/pulleydeal/features/records.py
@@ -45,6 +45,10 @@
         """Whether this node decides about the named thing, in the present view."""
         return self._membership.leads(f"{self.feature} {name}")
 
+    def leader(self, name: str) -> str:
+        """The node that decides about the named thing; empty: nobody at present."""
+        return self._membership.leader(f"{self.feature} {name}")
+
     def names(self, prefix: str = "") -> Iterator[str]:
         return (name for name in self._kept if name.startswith(prefix))
 
--- a/pulleydeal/features/settings.py
+++ b/pulleydeal/features/settings.py
@@ -19,8 +19,13 @@
     listen: Address
 
 
+class RolloutsSettings(Struct, forbid_unknown_fields=True, frozen=True):
+    """Health-gated roll-outs of named services. Nothing to set yet: each service says its own."""
+
+
 class Features(Struct, forbid_unknown_fields=True, frozen=True):
     operators: OperatorsSettings | None = None
+    rollouts: RolloutsSettings | None = None
 
     def on(self) -> list[str]:
         """The names of all that is switched on."""
--- a/pulleydeal/features/switch.py
+++ b/pulleydeal/features/switch.py
@@ -4,11 +4,13 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from pulleydeal.features.settings import Features
+from pulleydeal.http import Request, Response
 
 if TYPE_CHECKING:
     from pulleydeal.app import App
     from pulleydeal.operators.routes import Route
 
+Handler = Callable[[Request], Coroutine[Any, Any, Response]]
 Step = Callable[[], Coroutine[Any, Any, None]]
 
 
@@ -19,6 +21,9 @@
     def routes(self) -> "list[Route]":
         """What operators may ask of it."""
 
+    def paths(self) -> dict[str, Handler]:
+        """What it answers beside the users' paths, by the first part of the path."""
+
     async def start(self) -> None:
         """Called once, before the loops."""
 
@@ -30,4 +35,8 @@
         from pulleydeal.operators.service import Operators
 
         found.append(Operators(features, app, lambda: [x for f in found for x in f.routes()]))
+    if features.rollouts is not None:
+        from pulleydeal.rollouts.service import Rollouts
+
+        found.append(Rollouts(app))
     return found
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -70,17 +70,15 @@
         One that is merely away may come back with an older version, and one that serves may have
         been put back to it: neither counts as having shown it.
         """
-        nodes = [self.me, *(s.node_name for s in self._settings.siblings)]
-        return all(self._replica.software.get(node, 0) >= format_ for node in nodes) and all(
+        return all(self._replica.software.get(node, 0) >= format_ for node in self.nodes()) and all(
             self._replica.formats.get(member, 0) >= format_ for member in self._replica.members
         )
 
     def all_serve(self, feature: str, format_: int) -> bool:
         """Every node of the settings has durably shown that it has the feature on, so that its
         records may be relied on, whichever node comes to lead."""
-        nodes = [self.me, *(s.node_name for s in self._settings.siblings)]
         return self.all_keep(c.FORMAT_FEATURES) and all(
-            self._replica.shown.get(node, {}).get(feature, 0) >= format_ for node in nodes
+            self._replica.shown.get(node, {}).get(feature, 0) >= format_ for node in self.nodes()
         )
 
     def leads_job(self, spec: r.JobSpec) -> bool:
@@ -94,7 +92,15 @@
 
     def leads(self, thing: str) -> bool:
         """Whether this node decides about the named thing, in the present view."""
-        return self.is_member and decide.pick(list(self.view.members), thing) == self.me
+        return self.is_member and self.leader(thing) == self.me
+
+    def leader(self, thing: str) -> str:
+        """The member that decides about the named thing; empty: there is none."""
+        return decide.pick(list(self.view.members), thing)
+
+    def nodes(self) -> list[str]:
+        """All nodes of the settings, whether they are members or not."""
+        return [self.me, *(s.node_name for s in self._settings.siblings)]
 
     def parts(self) -> dict[str, list[Total]]:
         """The parts that can be asked now, with the credit each one published."""
--- a/pulleydeal/operators/service.py
+++ b/pulleydeal/operators/service.py
@@ -8,12 +8,13 @@
 
 from pulleydeal import __version__, logs
 from pulleydeal.features.settings import Features
-from pulleydeal.features.switch import Step
+from pulleydeal.features.switch import Handler, Step
 from pulleydeal.http import Request, Response, Server, answer
 from pulleydeal.operators import constants as oc
 from pulleydeal.operators.routes import Asked, Problem, Route, Table, page
 from pulleydeal.store.job import Job
 from pulleydeal.store.reasons import shown
+from pulleydeal.submissions.messages import described
 
 if TYPE_CHECKING:
     from pulleydeal.app import App
@@ -38,6 +39,9 @@
     def loops(self) -> dict[str, Step]:
         return {}
 
+    def paths(self) -> dict[str, Handler]:
+        return {}
+
     def routes(self) -> list[Route]:
         paged = ("after", "limit")
         return [
@@ -45,6 +49,7 @@
             Route("GET", "/v1/node", "this node, its view and its features", self._node),
             Route("GET", "/v1/jobs", "jobs in the order of ids", self._jobs, (*paged, "state")),
             Route("GET", "/v1/jobs/{job}", "a job with its tasks' places", self._job),
+            Route("GET", "/v1/jobs/{job}/description", "as its user would submit it", self._words),
             Route("GET", "/v1/machines", "machines with what is bound", self._machines, paged),
             Route("GET", "/v1/teams", "teams, limits and what they use", self._teams),
         ]
@@ -118,6 +123,13 @@
         last = {"last_stop": shown(job.last_stop)} if job.last_stop else {}
         return _summary(job) | {"bound": tasks} | last
 
+    async def _words(self, asked: Asked) -> Any:
+        self._need_replica()
+        job = self._replica.jobs.get(asked.params["job"])
+        if job is None or job.spec is None:
+            raise Problem(404, "no_such_job", f"no open job {asked.params['job']!r} is known here")
+        return described(job.spec)
+
     async def _machines(self, asked: Asked) -> Any:
         self._need_replica()
         return page(asked, self._replica.machines, self._machine)
--- /dev/null
+++ b/pulleydeal/rollouts/decide.py
@@ -0,0 +1,457 @@
+"""What a service's leader does next: a plain function of the record and of what it sees.
+
+One decision is one transaction. Every way to stop a copy goes through `_removable`, which keeps
+the floor; every way to start one through `_start`, which keeps to the surge.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import msgspec
+
+from pulleydeal.rollouts import constants as rc
+from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
+from pulleydeal.rollouts.description import Description
+from pulleydeal.rollouts.state import Rollout, Service, Slot
+
+
+@dataclass(slots=True)
+class Seen:
+    """One copy as its leader sees it."""
+
+    slot: Slot
+    state: str
+    why: str = ""
+    for_s: float = 0.0  # it has been in this state for so long
+    over: bool = False  # its job is cancelled or done: the place is empty
+    idle: bool = False  # it says that it serves no request
+
+
+@dataclass(slots=True)
+class World:
+    now: float  # wall clock
+    copies: list[Seen]
+    zones: list[str]  # of the deployment
+    steady_s: float = 1e9  # for how long this leader has had evidence without a break
+
+
+@dataclass(slots=True)
+class Decision:
+    service: Service
+    what: str
+    why: str = ""
+    evidence: list[str] = field(default_factory=list)
+    start: list[Slot] = field(default_factory=list)  # jobs to be accepted with it
+    stop: list[Slot] = field(default_factory=list)  # jobs to be cancelled with it
+    told: bool = True  # goes into the history
+
+
+def copy_of(service: Service) -> Service:
+    """What a decision changes; the record that was read stays as it is."""
+    return msgspec.structs.replace(
+        service,
+        slots=[msgspec.structs.replace(s) for s in service.slots],
+        rollout=msgspec.structs.replace(service.rollout) if service.rollout else None,
+    )
+
+
+def decide(service: Service, descriptions: dict[int, Description], world: World) -> Decision | None:
+    """The next step, or None when there is nothing to do but wait."""
+    current = service.rollout.to if service.rollout else service.good
+    if current not in descriptions:
+        return None  # nothing was ever good here, or its description is still on its way
+    return _Look(service, descriptions, world).next()
+
+
+class _Look:
+    """One look at a service; holds what its questions share."""
+
+    def __init__(
+        self, service: Service, descriptions: dict[int, Description], world: World
+    ) -> None:
+        self.s = copy_of(service)
+        self.r = self.s.rollout
+        self.world = world
+        self.now = world.now
+        self.descriptions = descriptions
+        self.main = self.r.to if self.r and self.r.phase != "returning" else self.s.good
+        self.d = descriptions.get(self.main) or descriptions[self.r.to if self.r else self.main]
+        self.by_serial = {seen.slot.serial: seen for seen in world.copies}
+        there = [self.by_serial[x.serial] for x in self.s.slots if x.serial in self.by_serial]
+        self.staying = [seen for seen in there if not seen.slot.leaving and not seen.over]
+        # What nobody has seen for a while is not there as far as refilling goes, and may be as
+        # far as the limit goes: it counts as soon as it is seen again.
+        self.lost = [x for x in self.staying if x.state == UNKNOWN and x.for_s > rc.LOST_S]
+        lost = {x.slot.serial for x in self.lost}
+        self.present = [x for x in self.staying if x.slot.serial not in lost]
+        self.stands = False  # it holds: nothing is done but to refill a broken floor
+        self.healthy = sum(x.state == HEALTHY for x in self.staying)
+
+    # --- questions --------------------------------------------------------------------------
+    def of(self, version: int) -> list[Seen]:
+        return [x for x in self.present if x.slot.version == version]
+
+    def others(self, version: int) -> list[Seen]:
+        return [x for x in self.present if x.slot.version != version]
+
+    def want(self) -> int:
+        """Copies of `main` that this step asks for."""
+        if self.s.removed:
+            return 0
+        if self.r and self.r.phase == "advancing":
+            return self.d.wanted[min(self.r.step, len(self.d.wanted) - 1)]
+        if self.r and self.r.phase == "baking":
+            return self.d.wanted[min(self.r.step, len(self.d.wanted) - 1)]
+        return self.d.copies if self.main else 0
+
+    def least(self) -> int:
+        """Healthy copies that no decision may go under: the higher floor of the two versions."""
+        if self.s.removed or not self.s.good:
+            return 0
+        floors = [self.d.least]
+        if self.s.good in self.descriptions:
+            floors.append(self.descriptions[self.s.good].least)
+        return max(floors)
+
+    # --- decisions --------------------------------------------------------------------------
+    def next(self) -> Decision | None:
+        found = self._forget() or self._leave() or self._against() or self._passed_deadline()
+        if found is not None:
+            return found
+        if self.stands:
+            return self._refill() if len(self.present) < self.least() else None
+        change = None if self.r and self.r.paused else self._change
+        return (
+            self._refill()
+            or self._move_queued()
+            or (change() if change else None)
+            or self._forward()
+            or self._hold()
+        )
+
+    def _forget(self) -> Decision | None:
+        """Copies whose jobs are over: ended by us, or by a user who cancelled one."""
+        over = [x for x in self.world.copies if x.over]
+        if not over:
+            return None
+        gone = {x.slot.serial for x in over}
+        self.s.slots = [x for x in self.s.slots if x.serial not in gone]
+        lines = [f"copy {x.slot.serial} ({_version(x.slot)}): {x.why}" for x in over]
+        return Decision(self.s, f"{len(over)} copies are gone", "their jobs were ended", lines)
+
+    def _leave(self) -> Decision | None:
+        """Copies out of the endpoints are stopped when their requests are over, or time is."""
+        ready = []
+        for slot in self.s.slots:
+            seen = self.by_serial.get(slot.serial)
+            if not slot.leaving or seen is None:
+                continue
+            out_s = self.now - slot.leaving
+            idle = seen.idle and out_s >= rc.EMPTY_LEAVE_S
+            if idle or out_s >= self.d.leave_s or seen.state in (QUEUED, UNHEALTHY):
+                ready.append(slot)
+        ready = ready[: rc.AT_ONCE]
+        if not ready:
+            return None
+        gone = {x.serial for x in ready}
+        self.s.slots = [x for x in self.s.slots if x.serial not in gone]
+        return Decision(self.s, f"stopped {_named(ready)}", stop=ready, told=False)
+
+    def _against(self) -> Decision | None:
+        """Evidence against the new version returns the roll-out; against both it holds."""
+        r = self.r
+        if r is None or r.phase == "returning":
+            return None
+        bad = [x for x in self.of(r.to) if x.state == UNHEALTHY]
+        if not bad:
+            return None
+        old = self.others(r.to)
+        old_bad = [x for x in old if x.state == UNHEALTHY]
+        share = len(bad) / max(1, len(self.of(r.to)))
+        if old and len(old_bad) / len(old) >= 0.5 * share:
+            why = (
+                f"both versions fail ({len(bad)} new and {len(old_bad)} old copies): something"
+                " that they share, so neither is judged by it"
+            )
+            self.stands = True
+            return self._held(why, bad + old_bad)
+        return self._return(f"{len(bad)} copies of version {r.to} are unhealthy", bad)
+
+    def _passed_deadline(self) -> Decision | None:
+        r = self.r
+        if r is None or r.paused or r.phase != "advancing" or not self.d.deadline_s:
+            return None
+        for_s = self.now - r.since
+        if for_s <= self.d.deadline_s:
+            return None
+        why = f"no step forward for {for_s:.0f} s" + (f": {r.hold}" if r.hold else "")
+        if self.d.late == "hold":
+            self.stands = True
+            return self._held("its deadline has passed without a step forward", [])
+        return self._return(why, [x for x in self.of(r.to) if x.state != HEALTHY])
+
+    def _return(self, why: str, against: list[Seen]) -> Decision:
+        assert self.r is not None
+        self.r.phase, self.r.hold, self.r.since = "returning", "", self.now
+        self.r.paused = False
+        back = f"version {self.s.good}" if self.s.good else "nothing, as no version was good yet"
+        return Decision(self.s, f"returns to {back}", why, [_line(x) for x in against])
+
+    def _refill(self) -> Decision | None:
+        """Copies that are lost or ended are replaced before anything advances."""
+        if self.s.removed:
+            return None
+        short = self.d.copies - len(self.present)
+        if short <= 0:
+            return None
+        version = self.main
+        if self.r and self.r.phase in ("advancing", "baking") and self.s.good:
+            old_short = (self.d.copies - self.want()) - len(self.others(self.r.to))
+            if old_short > 0:
+                version, short = self.s.good, min(short, old_short)
+        if not version:
+            return None
+        missing = [f"copy {x.slot.serial} in {x.slot.zone or '?'}: {x.why}" for x in self.lost]
+        return self._start(version, short, "refills", missing)
+
+    def _move_queued(self) -> Decision | None:
+        """A copy that waits for room in its zone is placed in another, if there is one."""
+        stuck = [x for x in self.present if x.state == QUEUED and x.for_s > rc.QUEUED_S]
+        stuck = [x for x in stuck if x.slot.zone]
+        if not stuck or len(self._zones_open(self.d)) == 0:
+            return None
+        moved = stuck[: rc.AT_ONCE]
+        full = {x.slot.zone for x in moved}
+        if not set(self._zones_open(self.d)) - full:
+            return None
+        for x in moved:
+            self._slot(x).leaving = self.now
+        self.present = [x for x in self.present if x not in moved]
+        lines = [_line(x) for x in moved]
+        return Decision(self.s, f"places {len(moved)} copies in other zones", "no room", lines)
+
+    def _change(self) -> Decision | None:
+        """One batch towards what the step asks for: start what is missing, stop what is over."""
+        want = self.want()
+        mine = self.of(self.main) if self.main else []
+        if len(mine) < want:
+            room = self.d.copies + self.d.surge - len(self.present)
+            if room > 0:
+                return self._start(self.main, min(want - len(mine), room), "starts", [])
+        rest = self.others(self.main)
+        if self.r and self.r.phase == "returning":
+            # What does not serve is no use while it goes back, and stands in the way.
+            useless = [x for x in rest if x.state != HEALTHY]
+            if useless:
+                return self._stop(useless, len(useless))
+        over = len(self.present) - (self.d.copies if want else 0)
+        if rest and len(mine) < want and over <= 0 and self.d.surge == 0:
+            over = 1  # without a surge an old copy goes before a new one comes
+        if over > 0 and (rest or mine):
+            return self._stop(rest or mine, over)
+        if self.r is None or self.r.phase == "returning":
+            return self._replace(mine) or self._stop_unseen(mine, want)
+        return self._stop_unseen(mine, want)
+
+    def _replace(self, mine: list[Seen]) -> Decision | None:
+        """A copy that stays unhealthy is replaced, one at a time, while most are well: where half
+        of them fail, new ones would too."""
+        sick = [x for x in mine if x.state == UNHEALTHY and x.for_s > rc.REPLACE_S]
+        coming = any(x.state in (QUEUED, STARTING) for x in self.present)
+        unhealthy = sum(x.state == UNHEALTHY for x in self.present)
+        if not sick or coming or 2 * unhealthy >= len(self.present):
+            return None
+        if self.d.surge:
+            return self._start(self.main, 1, "replaces", [_line(sick[0])])
+        return self._stop(sick, 1)
+
+    def _stop_unseen(self, mine: list[Seen], want: int) -> Decision | None:
+        """Copies of another version that are out of sight go when nothing else is to be done."""
+        unseen = [x for x in self.lost if x.slot.version != self.main]
+        if unseen and len(mine) == want and want in (0, self.d.copies):
+            return self._stop(unseen, len(unseen))
+        return None
+
+    def _start(self, version: int, count: int, verb: str, lines: list[str]) -> Decision | None:
+        d = self.descriptions.get(version)
+        if d is None:
+            return None
+        # Unseen copies may be there all the same; the limit counts them, the refill does not.
+        most = rc.MOST_COPIES + rc.MOST_SURGE - len(self.s.slots)
+        slots = []
+        for _ in range(min(count, rc.AT_ONCE, most)):
+            self.s.serial += 1
+            slot = Slot(self.s.serial, version, self._zone(d), self.now)
+            self.s.slots.append(slot)
+            self.present.append(Seen(slot, QUEUED))
+            slots.append(slot)
+        if not slots:
+            return None
+        if self.r:
+            self.r.hold = ""
+        what = f"{verb} {len(slots)} of version {version}"
+        return Decision(self.s, what, "", lines, start=slots, told=bool(lines) or verb != "refills")
+
+    def _stop(self, candidates: list[Seen], count: int) -> Decision | None:
+        """Takes copies out of the endpoints, as many as the floor allows."""
+        going = self._removable(candidates, min(count, rc.AT_ONCE))
+        if not going:
+            return None
+        if self.r and self.r.phase == "advancing":
+            self.r.since = self.now  # new copies proved healthy: a step forward
+        for x in going:
+            self._slot(x).leaving = self.now
+        slots = [x.slot for x in going]
+        return Decision(self.s, f"takes out {_named(slots)}", f"{self.healthy} are healthy")
+
+    def _removable(self, candidates: list[Seen], count: int) -> list[Seen]:
+        """Those that serve least first, then those where most copies are; never under the floor.
+
+        A copy that is unknown may be healthy: it is taken for healthy when it goes, and for
+        nothing when others go.
+        """
+        crowd = Counter(x.slot.zone for x in self.present)
+        rank = {UNHEALTHY: 0, QUEUED: 1, STARTING: 2, UNKNOWN: 3, HEALTHY: 4}
+        order = sorted(
+            candidates, key=lambda x: (rank[x.state], -crowd[x.slot.zone], x.slot.serial)
+        )
+        going: list[Seen] = []
+        left = self.healthy
+        least = self.least()
+        if self.d.surge and least and any(x.state != HEALTHY for x in self.of(self.main)):
+            # Those that come may still fail: until they are healthy none that serves goes for
+            # them, though the floor would allow it.
+            least = max(least, self.d.copies)
+        for x in order:
+            if len(going) == count:
+                break
+            counts = x.state in (HEALTHY, UNKNOWN)
+            if counts and left - 1 < least:
+                continue
+            left -= counts
+            going.append(x)
+        return going
+
+    def _forward(self) -> Decision | None:
+        """From step to step, once all copies are there and have been healthy for long enough."""
+        r = self.r
+        if r is None or r.paused:
+            return None
+        if r.phase == "returning":
+            return self._returned()
+        mine = self.of(r.to)
+        complete = (
+            len(mine) >= self.want()
+            and all(x.state == HEALTHY for x in mine)
+            and len(self.present) == self.d.copies
+            and not any(x.leaving for x in self.s.slots)
+        )
+        if r.phase == "advancing":
+            if not complete:
+                return None
+            r.phase, r.since, r.hold = "baking", self.now, ""
+            return Decision(self.s, f"bakes step {r.step + 1}", f"{len(mine)} new are healthy")
+        if not complete:
+            # A copy was lost or is not seen: the time of health begins again.
+            r.phase, r.since = "advancing", self.now
+            lines = [_line(x) for x in mine if x.state != HEALTHY]
+            return Decision(self.s, "goes back to the step", "not all copies are healthy", lines)
+        healthy_s = min(self.now - r.since, self.world.steady_s)
+        if r.phase == "baking":
+            if healthy_s < self.d.bake_s:
+                return None
+            if r.step + 1 < len(self.d.wanted):
+                r.phase, r.step, r.since = "advancing", r.step + 1, self.now
+                want = self.d.wanted[r.step]
+                return Decision(self.s, f"step {r.step + 1}: {want} new copies", "baked")
+            r.phase, r.since = "watching", self.now
+            return Decision(self.s, "watches", f"all {len(mine)} copies are of version {r.to}")
+        if healthy_s < self.d.watch_s:
+            return None
+        self.s.good, self.s.rollout = r.to, None
+        return Decision(self.s, f"done: version {r.to} is good", "healthy to the end")
+
+    def _returned(self) -> Decision | None:
+        good = self.of(self.s.good) if self.s.good else []
+        rest = self.others(self.s.good)
+        if rest or any(x.leaving for x in self.s.slots) or len(good) < self._copies_back():
+            return None
+        if any(x.state != HEALTHY for x in good):
+            return None
+        self.s.rollout = None
+        to = f"version {self.s.good} serves" if self.s.good else "no version serves"
+        return Decision(self.s, f"returned: {to}", f"{len(good)} healthy copies")
+
+    def _copies_back(self) -> int:
+        return self.d.copies if self.s.good and not self.s.removed else 0
+
+    # --- holding ----------------------------------------------------------------------------
+    def _hold(self) -> Decision | None:
+        """Says why it does not go on, when that has changed."""
+        r = self.r
+        if r is None or r.phase in ("baking", "watching"):
+            return None
+        version = r.to if r.phase == "advancing" else self.s.good
+        not_yet = [x for x in self.of(version) if x.state != HEALTHY]
+        why = ""
+        if r.paused:
+            why = "paused by an operator"
+        elif not_yet:
+            first = not_yet[0]
+            why = f"{len(not_yet)} copies of version {version} are not healthy yet, the first is "
+            why += f"{first.state}: {first.why or 'no reason known'}"
+        elif self.healthy < self.least():
+            why = f"{self.healthy} copies are healthy, of a floor of {self.least()}"
+        return self._held(why, [])
+
+    def _held(self, why: str, evidence: list[Seen]) -> Decision | None:
+        r = self.r
+        assert r is not None
+        if r.hold == why[: 2 * rc.EVIDENCE_CHARS]:
+            return None
+        r.hold = why[: 2 * rc.EVIDENCE_CHARS]
+        lines = [_line(x) for x in evidence]
+        return Decision(self.s, "holds", why, lines, told=bool(evidence))
+
+    # --- zones ------------------------------------------------------------------------------
+    def _zones_open(self, d: Description) -> list[str]:
+        """Zones that may take a copy: seen, and with nobody who waits for room there."""
+        allowed = [z for z in self.world.zones if d.zones is None or z in d.zones]
+        shut = {x.slot.zone for x in self.lost}
+        shut -= {x.slot.zone for x in self.present if x.state == HEALTHY}
+        shut |= {x.slot.zone for x in self.present if x.state == QUEUED and x.for_s > rc.QUEUED_S}
+        return [z for z in allowed if z not in shut]
+
+    def _zone(self, d: Description) -> str:
+        """Where the next copy goes: the zone with the fewest, over all versions together."""
+        if not d.spread and d.zones is None:
+            return ""
+        zones = self._zones_open(d) or [z for z in self.world.zones if not d.zones or z in d.zones]
+        crowd = Counter(x.slot.zone for x in self.present)
+        same = Counter(x.slot.zone for x in self.present if x.slot.version == self.main)
+        return min(zones, key=lambda z: (crowd[z], same[z], z))
+
+    def _slot(self, seen: Seen) -> Slot:
+        return next(x for x in self.s.slots if x.serial == seen.slot.serial)
+
+
+def begin(service: Service, version: int, now: float) -> Decision:
+    """A roll-out of a version that stands already; there is none under way."""
+    s = copy_of(service)
+    s.rollouts += 1
+    s.removed = False
+    s.rollout = Rollout(s.rollouts, version, since=now, began=now)
+    return Decision(s, f"roll-out {s.rollouts} of version {version} starts")
+
+
+def _version(slot: Slot) -> str:
+    return f"version {slot.version}" + (f", {slot.zone}" if slot.zone else "")
+
+
+def _named(slots: list[Slot]) -> str:
+    named = ", ".join(f"{x.serial}" for x in slots[:6])
+    return f"copies {named} (version {slots[0].version})"
+
+
+def _line(x: Seen) -> str:
+    return f"copy {x.slot.serial} ({_version(x.slot)}) {x.state} for {x.for_s:.0f} s: {x.why}"
--- a/pulleydeal/submissions/messages.py
+++ b/pulleydeal/submissions/messages.py
@@ -1,6 +1,6 @@
 """The users' wire forms (PROTOCOL: rig, crew, haul, urgency, lifts, tackle, yard, ...)."""
 
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct
@@ -78,3 +78,34 @@
 
 
 SUBMISSION = msgspec.json.Decoder(Submission)
+
+
+def described(spec: JobSpec) -> dict[str, Any]:
+    """A job in the users' words. Workers fetch what users upload; of a job that a feature
+    submitted the platform finds it here (`GET /v1/jobs/ID/description`)."""
+    kinds = {kind: word for word, kind in KINDS.items()}
+    words = {number: word for word, number in PRIORITY.items()}
+    found = Submission(
+        spec.id,
+        spec.klass,
+        spec.team,
+        kinds[spec.kind],  # type: ignore[arg-type]
+        words[spec.priority],  # type: ignore[arg-type]
+        spec.tasks,
+        spec.cpus,
+        spec.gpus,
+        spec.memory,
+        spec.image,
+        spec.image_gb,
+        spec.one_zone,
+        spec.spread,
+        spec.spot,
+        spec.estimate_s,
+        spec.checkpoint_s,
+        spec.save_s,
+        spec.types,
+        spec.zone,
+        spec.deadline_s,
+        spec.waits_on or None,
+    )
+    return dict(msgspec.to_builtins(found))
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -41,6 +42,17 @@
     results: set[str] = field(default_factory=set)
     progress: dict[str, float] = field(default_factory=dict)
     gangs: dict[tuple[str, int], dict[str, Running]] = field(default_factory=dict)
+    # Where a description is found that no user uploaded, and who is told that a service's task
+    # runs or does not run any more.
+    look_up: Callable[[str], dict[str, Any] | None] = lambda _: None
+    runs: Callable[["Worker", str, Running], None] = lambda *_: None
+    ends: Callable[[str], None] = lambda _: None
+
+    def description(self, job: str) -> dict[str, Any] | None:
+        found = self.uploads.get(job)
+        if found is None and (found := self.look_up(job)) is not None:
+            self.uploads[job] = found
+        return found
 
 
 class Worker:
@@ -170,7 +182,7 @@
 
     def _run(self, lift: str, pull: int, old: Running | None) -> None:
         name = lift.rpartition("/")[0]
-        job = self._world.uploads.get(name)
+        job = self._world.description(name)
         if old is not None and (old.pull == pull or old.tension != "exited"):
             return  # known already; another attempt's start is refused as in_use
         if job is None:
@@ -209,6 +221,7 @@
         running = self.lifts[lift]
         if running.tension in ("gathering", "running", "flushing"):
             self._world.rules.off(lift, self.block)
+            self._world.ends(lift)
         key = (lift.rpartition("/")[0], running.pull)
         self._world.gangs.get(key, {}).pop(lift, None)
 
@@ -250,6 +263,8 @@
                 if len(gang) == r.job["lifts"]:
                     for member in gang.values():
                         member.tension = "running"
+            elif r.job["haul"] == "standing":
+                self._world.runs(self, lift, r)
             self._soon.set()
         elif r.tension == "gathering" and now - r.waits_from > self._times.gang_wait_s:
             self._exit(lift, r, "incomplete")
