Plays roll-outs over three whole nodes: copies, consumers, and a checker of the floor

Need: decisions alone show nothing of leaders lost, outages and cuts. Change: scenarios know services; stand-in copies listen, register, answer checks and fail as told; a consumer follows the endpoints and counts what is not answered; a checker holds the truth against the floor at every change.

--- a/pulleydeal/http.py
+++ b/pulleydeal/http.py
@@ -221,6 +221,12 @@
         self, method: str, path: str, body: object = None, timeout: float = 5.0
     ) -> tuple[int, bytes]:
         payload = b"" if body is None else msgspec.json.encode(body)
+        return await self.send(method, path, payload, timeout)
+
+    async def send(
+        self, method: str, path: str, payload: bytes, timeout: float
+    ) -> tuple[int, bytes]:
+        """A request with a body as it stands. Raises NoAnswer."""
         sent = False
         pooled: _Pooled | None = None
         try:
--- a/pulleydeal/rollouts/decide.py
+++ b/pulleydeal/rollouts/decide.py
@@ -25,6 +25,7 @@
     for_s: float = 0.0  # it has been in this state for so long
     over: bool = False  # its job is cancelled or done: the place is empty
     idle: bool = False  # it says that it serves no request
+    again: bool = False  # it had a machine before, and waits for another
 
 
 @dataclass(slots=True)
@@ -81,7 +82,9 @@
         self.staying = [seen for seen in there if not seen.slot.leaving and not seen.over]
         # What nobody has seen for a while is not there as far as refilling goes, and may be as
         # far as the limit goes: it counts as soon as it is seen again.
-        self.lost = [x for x in self.staying if x.state == UNKNOWN and x.for_s > rc.LOST_S]
+        rounds_s = 2 * self.d.check.every_s * (self.d.check.healthy_after + 1)
+        lost_s = max(rc.LOST_S, rounds_s)  # a new leader needs some rounds to know a copy
+        self.lost = [x for x in self.staying if x.state == UNKNOWN and x.for_s > lost_s]
         lost = {x.slot.serial for x in self.lost}
         self.present = [x for x in self.staying if x.slot.serial not in lost]
         self.stands = False  # it holds: nothing is done but to refill a broken floor
@@ -98,10 +101,9 @@
         """Copies of `main` that this step asks for."""
         if self.s.removed:
             return 0
-        if self.r and self.r.phase == "advancing":
-            return self.d.wanted[min(self.r.step, len(self.d.wanted) - 1)]
-        if self.r and self.r.phase == "baking":
+        if self.r and self.r.phase in ("advancing", "baking") and self.s.good:
             return self.d.wanted[min(self.r.step, len(self.d.wanted) - 1)]
+        # A first version has nothing beside it that steps could spare.
         return self.d.copies if self.main else 0
 
     def least(self) -> int:
@@ -212,12 +214,11 @@
         if not version:
             return None
         missing = [f"copy {x.slot.serial} in {x.slot.zone or '?'}: {x.why}" for x in self.lost]
-        return self._start(version, short, "refills", missing)
+        return self._start(version, short, "refills" if self.s.good else "starts", missing)
 
     def _move_queued(self) -> Decision | None:
         """A copy that waits for room in its zone is placed in another, if there is one."""
-        stuck = [x for x in self.present if x.state == QUEUED and x.for_s > rc.QUEUED_S]
-        stuck = [x for x in stuck if x.slot.zone]
+        stuck = [x for x in self.present if x.slot.zone and self._stuck(x)]
         if not stuck or len(self._zones_open(self.d)) == 0:
             return None
         moved = stuck[: rc.AT_ONCE]
@@ -299,6 +300,8 @@
             return None
         if self.r and self.r.phase == "advancing":
             self.r.since = self.now  # new copies proved healthy: a step forward
+        if self.r:
+            self.r.hold = ""
         for x in going:
             self._slot(x).leaving = self.now
         slots = [x.slot for x in going]
@@ -341,9 +344,8 @@
             return self._returned()
         mine = self.of(r.to)
         complete = (
-            len(mine) >= self.want()
+            not self._short()
             and all(x.state == HEALTHY for x in mine)
-            and len(self.present) == self.d.copies
             and not any(x.leaving for x in self.s.slots)
         )
         if r.phase == "advancing":
@@ -352,25 +354,33 @@
             r.phase, r.since, r.hold = "baking", self.now, ""
             return Decision(self.s, f"bakes step {r.step + 1}", f"{len(mine)} new are healthy")
         if not complete:
-            # A copy was lost or is not seen: the time of health begins again.
+            if not any(x.state in (QUEUED, UNHEALTHY) for x in mine) and not self._short():
+                return None  # merely not seen for a moment: `steady_s` begins again by itself
             r.phase, r.since = "advancing", self.now
             lines = [_line(x) for x in mine if x.state != HEALTHY]
             return Decision(self.s, "goes back to the step", "not all copies are healthy", lines)
         healthy_s = min(self.now - r.since, self.world.steady_s)
         if r.phase == "baking":
-            if healthy_s < self.d.bake_s:
-                return None
-            if r.step + 1 < len(self.d.wanted):
-                r.phase, r.step, r.since = "advancing", r.step + 1, self.now
-                want = self.d.wanted[r.step]
-                return Decision(self.s, f"step {r.step + 1}: {want} new copies", "baked")
-            r.phase, r.since = "watching", self.now
-            return Decision(self.s, "watches", f"all {len(mine)} copies are of version {r.to}")
+            return self._baked() if healthy_s >= self.d.bake_s else None
         if healthy_s < self.d.watch_s:
             return None
         self.s.good, self.s.rollout = r.to, None
         return Decision(self.s, f"done: version {r.to} is good", "healthy to the end")
 
+    def _short(self) -> bool:
+        return len(self.of(self.main)) < self.want() or len(self.present) != self.d.copies
+
+    def _baked(self) -> Decision:
+        """The step's copies have been healthy for long enough."""
+        r = self.r
+        assert r is not None
+        if self.s.good and r.step + 1 < len(self.d.wanted):
+            r.phase, r.step, r.since = "advancing", r.step + 1, self.now
+            want = self.d.wanted[r.step]
+            return Decision(self.s, f"step {r.step + 1}: {want} new copies", "baked")
+        r.phase, r.since = "watching", self.now
+        return Decision(self.s, "watches", f"all copies are of version {r.to}")
+
     def _returned(self) -> Decision | None:
         good = self.of(self.s.good) if self.s.good else []
         rest = self.others(self.s.good)
@@ -398,8 +408,9 @@
             why = "paused by an operator"
         elif not_yet:
             first = not_yet[0]
-            why = f"{len(not_yet)} copies of version {version} are not healthy yet, the first is "
-            why += f"{first.state}: {first.why or 'no reason known'}"
+            why = f"{len(not_yet)} copies of version {version} are not healthy yet"
+            if first.state in (QUEUED, UNHEALTHY):
+                why += f", the first is {first.state}: {first.why}"
         elif self.healthy < self.least():
             why = f"{self.healthy} copies are healthy, of a floor of {self.least()}"
         return self._held(why, [])
@@ -419,7 +430,7 @@
         allowed = [z for z in self.world.zones if d.zones is None or z in d.zones]
         shut = {x.slot.zone for x in self.lost}
         shut -= {x.slot.zone for x in self.present if x.state == HEALTHY}
-        shut |= {x.slot.zone for x in self.present if x.state == QUEUED and x.for_s > rc.QUEUED_S}
+        shut |= {x.slot.zone for x in self.present if self._stuck(x)}
         return [z for z in allowed if z not in shut]
 
     def _zone(self, d: Description) -> str:
@@ -431,6 +442,13 @@
         same = Counter(x.slot.zone for x in self.present if x.slot.version == self.main)
         return min(zones, key=lambda z: (crowd[z], same[z], z))
 
+    def _stuck(self, x: Seen) -> bool:
+        """It waits for room in vain; soon for one that lost its machine where none is left."""
+        if x.state != QUEUED:
+            return False
+        alone = not any(y.state == HEALTHY and y.slot.zone == x.slot.zone for y in self.present)
+        return x.for_s > (rc.LOST_S if x.again and alone and self.healthy else rc.QUEUED_S)
+
     def _slot(self, seen: Seen) -> Slot:
         return next(x for x in self.s.slots if x.serial == seen.slot.serial)
 
--- a/pulleydeal/rollouts/seeing.py
+++ b/pulleydeal/rollouts/seeing.py
@@ -4,7 +4,7 @@
 
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts import health
-from pulleydeal.rollouts.constants import HEALTHY, QUEUED, UNHEALTHY, UNKNOWN
+from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
 from pulleydeal.rollouts.decide import Seen, World
 from pulleydeal.rollouts.description import Check
 from pulleydeal.rollouts.registry import Registry
@@ -35,19 +35,28 @@
     replica: Replica,
     watch: Watch,
     reason: dict[str, str],
+    before: list[Endpoint],
     zones: list[str],
     now: float,
     wall: float,
 ) -> World:
-    """`reason`: why a job waits, by id; `now`: steady time; `wall`: time of day."""
+    """`reason`: why a job waits, by id; `before`: the endpoints as they stand, which tell a new
+    leader what was healthy; `now`: steady time; `wall`: time of day."""
+    was_ready = {e.job: e.address for e in before}
     live = watch.registry.live(now)
     heard = health.zones_heard(live, {}, now)
     copies = []
     for slot in service.slots:
         job = replica.jobs.get(job_id(name, slot.serial))
         seen = _one(name, slot, job, check, replica, watch, heard, reason, now)
-        before, since = watch.state_at.get(slot.serial, ("", now))
-        if before != seen.state:
+        if seen.state == STARTING and job is not None and job.id in was_ready:
+            copy = watch.registry.copies.get(job.id)
+            if copy is None or copy.address == was_ready[job.id]:
+                # A new leader has not asked it yet. Taken for one that never served, it was
+                # stopped for no more than that, under the floor.
+                seen.state, seen.why = UNKNOWN, "was ready before its leader came"
+        earlier, since = watch.state_at.get(slot.serial, ("", now))
+        if earlier != seen.state:
             since = now
             watch.state_at[slot.serial] = (seen.state, now)
         seen.for_s = now - since
@@ -85,7 +94,8 @@
         last = f"; last: {shown(task.why)}" if task.why else ""
         if failed:
             return Seen(slot, UNHEALTHY, f"its task failed {task.fails} times{last}")
-        return Seen(slot, QUEUED, f"waits for {reason.get(job.id) or 'credit'}{last}")
+        why = f"waits for {reason.get(job.id) or 'credit'}{last}"
+        return Seen(slot, QUEUED, why, again=task.attempt > 0)
     attempt, since = watch.bound_at.get(job.id, (-1, now))
     if attempt != task.attempt:
         since = now
--- a/pulleydeal/rollouts/service.py
+++ b/pulleydeal/rollouts/service.py
@@ -146,8 +146,10 @@
         jobs = [st.job_id(name, slot.serial) for slot in service.slots]
         reasons = {job: self.app.placement.reason(job) for job in jobs}
         now, wall = self.clock.now(), self.clock.wall()
-        zones = self.app.zones
-        return seeing.see(name, service, d.check, self.replica, watch, reasons, zones, now, wall)
+        before, zones = self.endpoints(name).ready, self.app.zones
+        return seeing.see(
+            name, service, d.check, self.replica, watch, reasons, before, zones, now, wall
+        )
 
     async def _check(self, watch: Watch, d: Description, late_s: float) -> None:
         try:
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -13,6 +13,13 @@
                                                  behind; its machines are up, and their tasks lost
   capacity COUNT                                 machines to be had of each kind in each zone
   crowd JOB COUNT KIND TASKS RUN_S [name=value ...]   COUNT users submit at once, from JOB on
+  features rollouts   (among the first events)   nodes have roll-outs on
+  describe SERVICE [name=value ...]              how its next versions are described
+  behave IMAGE [name=value ...]                  how copies of an image behave (copies.Behaviour)
+  roll SERVICE IMAGE                             an operator starts a roll-out of that image
+  operator SERVICE pause|resume|abort|remove
+  promise SERVICE FLOOR                          from now on that many copies are truly healthy
+  expect service SERVICE STATE GOOD COPIES
   expect JOB STATE [COUNT] | expect machines COUNT[+] | expect starts COUNT | expect NODE UP
 """
 
@@ -33,6 +40,7 @@
 from standins.cloud import CloudService
 from standins.net import Host, Network, VirtualLoop, on_host
 from standins.rules import Rules
+from standins.service_events import ServiceEvents
 from standins.state import StateService
 from standins.worker import Times, Worker, World
 
@@ -77,6 +85,7 @@
         self._regional = Host("10.2.0.0", "")
         self._users = Host("10.3.0.1", "")
         self.failures: list[str] = []
+        self.services: ServiceEvents | None = None
 
     # --- the world ------------------------------------------------------------------------
     def start(self, left_behind: dict[str, Any] | None = None) -> None:
@@ -126,7 +135,8 @@
         index = int(name.rpartition("-")[2])
         host = self._hosts[name] = Host(self._nodes[name], ZONES[index])
         rng = random.Random(f"{self._seed} {name} {self._loop.time()}")
-        on_host(host, App(self._settings(name), self._clock, rng).run())
+        features = self.services.features(name) if self.services else None
+        on_host(host, App(self._settings(name), self._clock, rng, None, features).run())
 
     def _settings(self, name: str) -> Settings:
         zones = dict(zip(self._nodes, ZONES, strict=True))
@@ -249,10 +259,14 @@
                 continue
             await asyncio.sleep(max(0.0, float(words[0]) - self._loop.time()))
             self.rules.check_cancelled()
-            verb: Callable[..., Any] = getattr(self, f"do_{words[1]}")
+            events = self if hasattr(self, f"do_{words[1]}") else self.services
+            verb: Callable[..., Any] = getattr(events, f"do_{words[1]}")
             verb(*words[2:])
         self.rules.check_cancelled()
 
+    def do_features(self, *names: str) -> None:
+        """Read before the nodes start."""
+
     def do_submit(self, job: str, kind: str, tasks: str, run_s: str, *more: str) -> None:
         body = self._submission(job, kind, tasks, run_s, list(more))
         self.rules.uploads[job] = body
@@ -324,7 +338,10 @@
         self._workers[block].reclaim_at = self._loop.time() + float(seconds)
         self._loop.call_later(float(seconds), self.cloud.remove, block)
 
-    def do_expect(self, what: str, value: str, count: str = "1") -> None:
+    def do_expect(self, what: str, value: str, count: str = "1", *more: str) -> None:
+        if what == "service" and self.services:
+            on_host(self._users, self.services.expect(value, count, *more))
+            return
         if what == "machines":
             there = len(self.cloud.blocks)
             wanted = int(value.rstrip("+"))
@@ -394,6 +411,9 @@
     loop = VirtualLoop(network)
     asyncio.set_event_loop(loop)
     scenario = Scenario(loop, network, seed)
+    seen = [line.partition("#")[0].split() for line in path.read_text().splitlines()]
+    if any(words[1:3] == ["features", "rollouts"] for words in seen):
+        scenario.services = ServiceEvents(scenario)
     events = [line for line in path.read_text().splitlines() if line.partition("#")[0].strip()]
     records = None
     at, verb, *words = events[0].split()
@@ -409,6 +429,8 @@
         await asyncio.sleep(0.01)
         await scenario.play("\n".join(events))
         await asyncio.sleep(3.0)
+        if scenario.services:
+            scenario.failures += scenario.services.faults()
 
     try:
         loop.run_until_complete(run())
