--- a/pulleydeal/cli.py
+++ b/pulleydeal/cli.py
@@ -50,6 +50,8 @@
         command.add_argument("job", help="the job's id")
     for command in (submit, status, cancel):
         command.add_argument("--node", required=True, help="a node's address, HOST:PORT")
+    for name in ("rollout", "service"):
+        commands.add_parser(name, help="named services and their roll-outs: see its own --help")
     return top
 
 
@@ -57,6 +59,10 @@
     args = list(sys.argv[1:] if argv is None else argv)
     if args and args[0].startswith("--config"):
         args.insert(0, "serve")
+    if args and args[0] in ("rollout", "service"):
+        from pulleydeal.rollouts.cli import main as rollouts
+
+        return rollouts(args)
     options = parser().parse_args(args)
     if options.command in ("serve", "check"):
         try:
--- /dev/null
+++ b/pulleydeal/rollouts/cli.py
@@ -0,0 +1,249 @@
+"""`pulleydeal rollout ...` and `pulleydeal service ...`: what operators type.
+
+Speaks to the operators' interface of one node. Tables and the live view need `rich`
+(requirements-cli.txt); without it the same is printed as plain lines.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from pulleydeal.rollouts.description import DescriptionError, read
+from pulleydeal.settings import split_address
+
+DEFAULT = "127.0.0.1:9180"
+VARIABLE = "PULLEYDEAL_OPERATORS"
+LOOK_S = 1.0  # between two looks of `watch`
+
+
+class Failed(Exception):
+    """A request that was refused or not answered; the text says why."""
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(prog="pulleydeal", description=__doc__)
+    groups = top.add_subparsers(dest="group", required=True)
+    rollout = groups.add_parser("rollout", help="roll-outs of named services")
+    service = groups.add_parser("service", help="named services")
+    for group, words in (
+        (rollout, {"check": "FILE", "start": "FILE"}),
+        (rollout, dict.fromkeys(("status", "watch", "pause", "resume", "abort", "history"), "")),
+        (service, {"list": None, "show": "", "endpoints": "", "remove": ""}),
+    ):
+        if not hasattr(group, "verbs"):
+            group.verbs = group.add_subparsers(dest="verb", required=True)  # type: ignore[attr-defined]
+        for word, takes in words.items():
+            verb = group.verbs.add_parser(word)  # type: ignore[attr-defined]
+            if takes == "FILE":
+                verb.add_argument("file", type=Path, help="the service's description (TOML)")
+            elif takes is not None:
+                verb.add_argument("service", help="the service's name")
+            verb.add_argument("--json", action="store_true", help="the answer as it came")
+            verb.add_argument(
+                "--operators",
+                default=os.environ.get(VARIABLE, DEFAULT),
+                help=f"a node's operators' address (default: ${VARIABLE} or {DEFAULT})",
+            )
+    return top
+
+
+def ask(address: str, method: str, path: str, body: bytes = b"") -> Any:
+    """The answer, decoded. Raises Failed with the sentence that came, or why none did."""
+    try:
+        host, port = split_address(address)
+        connection = http.client.HTTPConnection(host, port, timeout=10)
+        connection.request(method, path, body)
+        response = connection.getresponse()
+        raw = response.read()
+        found = json.loads(raw)
+    except (OSError, ValueError, RecursionError, http.client.HTTPException) as error:
+        raise Failed(f"{address}: {error}") from error
+    if response.status != 200:
+        told = found.get("error", {}) if isinstance(found, dict) else {}
+        raise Failed(told.get("message", f"{response.status} {raw[:200]!r}"))
+    return found
+
+
+def main(argv: list[str]) -> int:
+    options = parser().parse_args(argv)
+    try:
+        return run(options)
+    except DescriptionError as error:
+        for fault in error.faults:
+            print(f"pulleydeal: {fault}", file=sys.stderr)
+        return 2
+    except Failed as error:
+        for line in str(error).splitlines():
+            print(f"pulleydeal: {line}", file=sys.stderr)
+        return 1
+
+
+def run(options: argparse.Namespace) -> int:
+    verb, address = options.verb, options.operators
+    if verb in ("check", "start"):
+        read(options.file)  # faults of its own are told with the file's name, without a node
+        path = "/v1/rollouts/check" if verb == "check" else "/v1/rollouts"
+        found = ask(address, "POST", path, options.file.read_bytes())
+        if options.json:
+            return show_json(found)
+        if verb == "check":
+            print(f"{options.file}: good: {found['says']}")
+        elif "rollout" in found:
+            print(
+                f"roll-out {found['rollout']} of {found['service']} to version {found['version']}"
+            )
+        else:
+            print(f"{found['service']}: version {found['version']} {found['says']}")
+        return 0
+    if verb == "list":
+        found = everything(address, "/v1/services")
+        return show_json(found) if options.json else show_list(found)
+    path = f"/v1/services/{options.service}"
+    if verb == "watch":
+        return watch(address, path)
+    if verb in ("pause", "resume", "abort", "remove"):
+        found = ask(address, "POST", f"{path}/{verb}")
+        if options.json:
+            return show_json(found)
+        print(f"{found['service']}: {found['state']}")
+        return 0
+    if verb == "history":
+        found = everything(address, f"{path}/history")
+        return show_json(found) if options.json else show_history(found)
+    found = ask(address, "GET", path + ("/endpoints" if verb == "endpoints" else ""))
+    if options.json:
+        return show_json(found)
+    return show_endpoints(found) if verb == "endpoints" else show_service(found)
+
+
+def everything(address: str, path: str) -> list[dict[str, Any]]:
+    """All pages of a list."""
+    items: list[dict[str, Any]] = []
+    after = ""
+    while True:
+        found = ask(address, "GET", f"{path}?limit=500" + (f"&after={after}" if after else ""))
+        items += found["items"]
+        if found["next"] is None:
+            return items
+        after = found["next"]
+
+
+# --- showing -----------------------------------------------------------------------------------
+def show_json(found: Any) -> int:
+    print(json.dumps(found, indent=2))
+    return 0
+
+
+def rows(title: str, names: list[str], lines: list[list[str]]) -> None:
+    try:
+        from rich.console import Console
+        from rich.table import Table
+    except ModuleNotFoundError:
+        widths = [max(len(x) for x in column) for column in zip(names, *lines, strict=True)]
+        print(title)
+        for line in [names, *lines]:
+            print("  ".join(x.ljust(w) for x, w in zip(line, widths, strict=True)).rstrip())
+        return
+    Console().print(table(Table, title, names, lines))
+
+
+def table(kind: Any, title: str, names: list[str], lines: list[list[str]]) -> Any:
+    made = kind(title=title, title_justify="left")
+    for name in names:
+        made.add_column(name)
+    for line in lines:
+        made.add_row(*line)
+    return made
+
+
+def show_list(found: list[dict[str, Any]]) -> int:
+    names = ["service", "state", "good", "copies", "ready"]
+    rows("services", names, [[str(x[name]) for name in names] for x in found])
+    return 0
+
+
+def headline(found: dict[str, Any]) -> str:
+    text = f"{found['service']}: {found['state']}, good version {found['good'] or 'none yet'}, "
+    text += f"{found['ready']} ready, led by {found['leader'] or 'nobody'}"
+    r = found.get("rollout")
+    if r:
+        step, wanted = r.get("step", 0), r["wanted"]
+        text += f"\nroll-out {r['number']} to version {r['to']}, step {step + 1} of {len(wanted)}"
+        text += ", paused" if r.get("paused") else ""
+        text += f"\n{r['hold']}" if r.get("hold") else ""
+    return text
+
+
+COPY_NAMES = ["copy", "version", "zone", "state", "for", "why"]
+
+
+def copy_lines(found: dict[str, Any]) -> list[list[str]]:
+    lines = []
+    for x in found["copies"]:
+        state = "leaving" if x["leaving"] else x.get("state", "ask its leader")
+        for_s = f"{x['for_s']:.0f} s" if "for_s" in x else ""
+        lines.append([str(x["copy"]), str(x["version"]), x["zone"], state, for_s, x.get("why", "")])
+    return lines
+
+
+def show_service(found: dict[str, Any]) -> int:
+    rows(headline(found), COPY_NAMES, copy_lines(found))
+    return 0
+
+
+def show_endpoints(found: dict[str, Any]) -> int:
+    names = ["address", "version", "zone", "job"]
+    lines = [[str(x[name]) for name in names] for x in found["ready"]]
+    rows(f"{found['service']}: revision {found['revision']}", names, lines)
+    return 0
+
+
+def show_history(found: list[dict[str, Any]]) -> int:
+    for x in found:
+        at = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(x["at"]))
+        print(f"{at}  {x['what']}" + (f": {x['why']}" if x.get("why") else ""))
+        for line in x.get("evidence", []):
+            print(f"{'':21}{line}")
+    return 0
+
+
+def watch(address: str, path: str) -> int:
+    """A live view until the roll-out is over or Ctrl-C."""
+    try:
+        from rich.console import Group
+        from rich.live import Live
+        from rich.table import Table
+        from rich.text import Text
+    except ModuleNotFoundError as error:
+        how = "python3 -m pip install -r requirements-cli.txt"
+        raise Failed(f"watch needs the library rich: {how}") from error
+    shown: dict[str, Any] = {}
+
+    def view() -> Group:
+        steps = Text()
+        r = shown.get("rollout")
+        if r:
+            new = sum(x["version"] == r["to"] for x in shown["copies"])
+            done, most = new, r["wanted"][-1] if r["wanted"] else max(1, new)
+            steps = Text(f"[{'#' * done}{'.' * max(0, most - done)}] {done} of {most} copies\n")
+        made = table(Table, headline(shown), COPY_NAMES, copy_lines(shown))
+        return Group(made, steps)
+
+    shown = ask(address, "GET", path)
+    try:
+        with Live(view(), refresh_per_second=4) as live:
+            while shown.get("rollout"):
+                time.sleep(LOOK_S)
+                shown = ask(address, "GET", path)
+                live.update(view())
+    except KeyboardInterrupt:
+        return 0
+    entries = everything(address, f"{path}/history")
+    if entries:
+        print(f"{entries[-1]['what']}: {entries[-1].get('why', '')}")
+    return 0
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -117,14 +118,15 @@
         self._clock, self._nodes = clock, nodes
         self.behaviours: dict[str, Behaviour] = {}  # image -> how its copies behave
         self.services: dict[str, str] = {}  # class of jobs -> service
+        self.all = False  # every standing job is a copy, of the service that its class names
         self.live: dict[str, tuple[Copy, asyncio.Task[None]]] = {}
         self.changed: Callable[[], None] = lambda: None
 
     def start(self, lift: str, pull: int, job: dict[str, Any], address: str) -> Copy | None:
-        service = self.services.get(job["rig"])
+        service = self.services.get(job["rig"], job["rig"] if self.all else None)
         if service is None:
             return None
-        behaviour = self.behaviours.setdefault(job["tackle"], Behaviour())
+        behaviour = self.behaviours.setdefault(job["tackle"], named(job["tackle"]))
         image = job["tackle"]
         copy = Copy(service, lift, pull, address, image, self._clock, self._nodes, behaviour)
         task = asyncio.ensure_future(copy.run())
@@ -140,6 +142,12 @@
             self.changed()
 
 
+def named(image: str) -> Behaviour:
+    """How an image behaves whose name says it: `web-2-fails-after-20`; any other is good."""
+    found = re.search(r"fails-after-([0-9]+)$", image)
+    return Behaviour(fails_after_s=float(found[1])) if found else Behaviour()
+
+
 def _told(task: "asyncio.Task[None]") -> None:
     with contextlib.suppress(asyncio.CancelledError):
         if (error := task.exception()) is not None and not isinstance(error, OSError):
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,6 +12,7 @@
 from standins.town import Town, TownError, job
 
 FIRST_PORT = 8080
+FEATURES = '[operators]\nlisten = "127.0.0.1:{operators}"\n[rollouts]\n'
 JOBS = {"j-1": [], "j-2": ["j-1"], "j-3": ["j-1", "j-2"]}
 DONE_S = 180.0  # the demo's jobs take some 40 s; later than this something is wrong
 ASK_S = 1.0
@@ -22,6 +23,9 @@
     words.add_argument("--nodes", type=int, default=3, help="how many (default: 3)")
     words.add_argument("--for", dest="seconds", type=float, help="serve so long after the jobs")
     words.add_argument("--port", type=int, default=FIRST_PORT, help="first of its ports")
+    words.add_argument(
+        "--rollouts", action="store_true", help="with the operators' interface and roll-outs on"
+    )
     words.add_argument("--dir", type=Path, help="for settings, logs, jobs (default: a new one)")
     words.add_argument("--setup", action="store_true", help="install what a node needs first")
     return words
@@ -76,6 +80,9 @@
     try:
         await town.start()
         nodes = ", ".join(f"{n} {a}" for n, a in town.nodes.items())
+        if town.copies.all:
+            operators = ", ".join(f"{n} 127.0.0.1:{p}" for n, p in town.operators.items())
+            print(f"operators: {operators}")
         print(f"serving: {nodes}; settings, logs and jobs in {town.folder}", flush=True)
         for name, needed in JOBS.items():
             body = job(name, waits_on=needed)
@@ -100,7 +107,9 @@
         return 2
     folder = options.dir or Path(tempfile.mkdtemp(prefix="pulleydeal-demo-"))
     try:
-        town = Town(folder, options.nodes, options.port)
+        text = FEATURES if options.rollouts else ""
+        town = Town(folder, options.nodes, options.port, features=text)
+        town.copies.all = options.rollouts
         asyncio.run(play(town, options.seconds))
     except TownError as error:
         print(f"demo: {error}", file=sys.stderr)
--- a/standins/town.py
+++ b/standins/town.py
@@ -17,6 +17,7 @@
 from pulleydeal.clock import SystemClock
 from pulleydeal.http import Client, NoAnswer
 from standins.cloud import CloudService
+from standins.copies import Copies, look_up
 from standins.rules import Rules
 from standins.scenario import TYPE, ZONES
 from standins.state import StateService
@@ -108,6 +109,12 @@
         self.rules = Rules({t["name"]: t.get("gpus_max", 0.0) for t in self._teams}, 34.0, self.now)
         self.rules.uploads = Uploads(folder / "jobs")
         self._world = World(self.rules, self.rules.uploads)
+        self.copies = Copies(self.clock, self.nodes)
+        self._world.look_up = lambda name: look_up(self.state.keys, name)
+        self._world.ends = self.copies.end
+        self._world.runs = lambda worker, lift, running: self.copies.start(
+            lift, running.pull, running.job, f"{LOCAL}:{free_port()}"
+        )
         self.workers: dict[str, tuple[Worker, asyncio.Task[None]]] = {}
         self.state = StateService(1)
         places = {(zone, spot): capacity for zone in ZONES for spot in (False, True)}
@@ -204,7 +211,7 @@
     async def stop(self) -> None:
         for name in list(self.processes):
             self.kill(name)
-        for _, task in self.workers.values():
+        for _, task in [*self.workers.values(), *self.copies.live.values()]:
             task.cancel()
         for task in self._tasks:
             task.cancel()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -45,7 +45,7 @@
     # Where a description is found that no user uploaded, and who is told that a service's task
     # runs or does not run any more.
     look_up: Callable[[str], dict[str, Any] | None] = lambda _: None
-    runs: Callable[["Worker", str, Running], None] = lambda *_: None
+    runs: Callable[["Worker", str, Running], Any] = lambda *_: None
     ends: Callable[[str], None] = lambda _: None
 
     def description(self, job: str) -> dict[str, Any] | None:
