--- a/pulleydeal/rollouts/decide.py
+++ b/pulleydeal/rollouts/decide.py
@@ -5,57 +5,14 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass, field
-
-import msgspec
 
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
 from pulleydeal.rollouts.description import Description
+from pulleydeal.rollouts.seen import Decision, Seen, World, copy_of, line_of, named
 from pulleydeal.rollouts.state import Rollout, Service, Slot
 
 
-@dataclass(slots=True)
-class Seen:
-    """One copy as its leader sees it."""
-
-    slot: Slot
-    state: str
-    why: str = ""
-    for_s: float = 0.0  # it has been in this state for so long
-    over: bool = False  # its job is cancelled or done: the place is empty
-    idle: bool = False  # it says that it serves no request
-    again: bool = False  # it had a machine before, and waits for another
-
-
-@dataclass(slots=True)
-class World:
-    now: float  # wall clock
-    copies: list[Seen]
-    zones: list[str]  # of the deployment
-    steady_s: float = 1e9  # for how long this leader has had evidence without a break
-
-
-@dataclass(slots=True)
-class Decision:
-    service: Service
-    what: str
-    why: str = ""
-    evidence: list[str] = field(default_factory=list)
-    start: list[Slot] = field(default_factory=list)  # jobs to be accepted with it
-    stop: list[Slot] = field(default_factory=list)  # jobs to be cancelled with it
-    told: bool = True  # goes into the history
-
-
-def copy_of(service: Service) -> Service:
-    """What a decision changes; the record that was read stays as it is."""
-    return msgspec.structs.replace(
-        service,
-        slots=[msgspec.structs.replace(s) for s in service.slots],
-        rollout=msgspec.structs.replace(service.rollout) if service.rollout else None,
-    )
-
-
 def decide(service: Service, descriptions: dict[int, Description], world: World) -> Decision | None:
     """The next step, or None when there is nothing to do but wait."""
     current = service.rollout.to if service.rollout else service.good
@@ -138,7 +95,7 @@
             return None
         gone = {x.slot.serial for x in over}
         self.s.slots = [x for x in self.s.slots if x.serial not in gone]
-        lines = [f"copy {x.slot.serial} ({_version(x.slot)}): {x.why}" for x in over]
+        lines = [f"copy {x.slot.serial} ({version_of(x.slot)}): {x.why}" for x in over]
         return Decision(self.s, f"{len(over)} copies are gone", "their jobs were ended", lines)
 
     def _leave(self) -> Decision | None:
@@ -157,7 +114,7 @@
             return None
         gone = {x.serial for x in ready}
         self.s.slots = [x for x in self.s.slots if x.serial not in gone]
-        return Decision(self.s, f"stopped {_named(ready)}", stop=ready, told=False)
+        return Decision(self.s, f"stopped {named(ready)}", stop=ready, told=False)
 
     def _against(self) -> Decision | None:
         """Evidence against the new version returns the roll-out; against both it holds."""
@@ -197,7 +154,7 @@
         self.r.phase, self.r.hold, self.r.since = "returning", "", self.now
         self.r.paused = False
         back = f"version {self.s.good}" if self.s.good else "nothing, as no version was good yet"
-        return Decision(self.s, f"returns to {back}", why, [_line(x) for x in against])
+        return Decision(self.s, f"returns to {back}", why, [line_of(x) for x in against])
 
     def _refill(self) -> Decision | None:
         """Copies that are lost or ended are replaced before anything advances."""
@@ -228,7 +185,7 @@
         for x in moved:
             self._slot(x).leaving = self.now
         self.present = [x for x in self.present if x not in moved]
-        lines = [_line(x) for x in moved]
+        lines = [line_of(x) for x in moved]
         return Decision(self.s, f"places {len(moved)} copies in other zones", "no room", lines)
 
     def _change(self) -> Decision | None:
@@ -263,7 +220,7 @@
         if not sick or coming or 2 * unhealthy >= len(self.present):
             return None
         if self.d.surge:
-            return self._start(self.main, 1, "replaces", [_line(sick[0])])
+            return self._start(self.main, 1, "replaces", [line_of(sick[0])])
         return self._stop(sick, 1)
 
     def _stop_unseen(self, mine: list[Seen], want: int) -> Decision | None:
@@ -305,7 +262,7 @@
         for x in going:
             self._slot(x).leaving = self.now
         slots = [x.slot for x in going]
-        return Decision(self.s, f"takes out {_named(slots)}", f"{self.healthy} are healthy")
+        return Decision(self.s, f"takes out {named(slots)}", f"{self.healthy} are healthy")
 
     def _removable(self, candidates: list[Seen], count: int) -> list[Seen]:
         """Those that serve least first, then those where most copies are; never under the floor.
@@ -357,7 +314,7 @@
             if not any(x.state in (QUEUED, UNHEALTHY) for x in mine) and not self._short():
                 return None  # merely not seen for a moment: `steady_s` begins again by itself
             r.phase, r.since = "advancing", self.now
-            lines = [_line(x) for x in mine if x.state != HEALTHY]
+            lines = [line_of(x) for x in mine if x.state != HEALTHY]
             return Decision(self.s, "goes back to the step", "not all copies are healthy", lines)
         healthy_s = min(self.now - r.since, self.world.steady_s)
         if r.phase == "baking":
@@ -421,7 +378,7 @@
         if r.hold == why[: 2 * rc.EVIDENCE_CHARS]:
             return None
         r.hold = why[: 2 * rc.EVIDENCE_CHARS]
-        lines = [_line(x) for x in evidence]
+        lines = [line_of(x) for x in evidence]
         return Decision(self.s, "holds", why, lines, told=bool(evidence))
 
     # --- zones ------------------------------------------------------------------------------
@@ -460,16 +417,3 @@
     s.removed = False
     s.rollout = Rollout(s.rollouts, version, since=now, began=now)
     return Decision(s, f"roll-out {s.rollouts} of version {version} starts")
-
-
-def _version(slot: Slot) -> str:
-    return f"version {slot.version}" + (f", {slot.zone}" if slot.zone else "")
-
-
-def _named(slots: list[Slot]) -> str:
-    named = ", ".join(f"{x.serial}" for x in slots[:6])
-    return f"copies {named} (version {slots[0].version})"
-
-
-def _line(x: Seen) -> str:
-    return f"copy {x.slot.serial} ({_version(x.slot)}) {x.state} for {x.for_s:.0f} s: {x.why}"
--- a/pulleydeal/rollouts/seeing.py
+++ b/pulleydeal/rollouts/seeing.py
@@ -5,9 +5,9 @@
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts import health
 from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
-from pulleydeal.rollouts.decide import Seen, World
 from pulleydeal.rollouts.description import Check
 from pulleydeal.rollouts.registry import Registry
+from pulleydeal.rollouts.seen import Seen, World
 from pulleydeal.rollouts.state import Endpoint, Service, Slot, job_id
 from pulleydeal.store.job import Job
 from pulleydeal.store.reasons import shown
--- a/pulleydeal/rollouts/service.py
+++ b/pulleydeal/rollouts/service.py
@@ -11,10 +11,11 @@
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts import health, seeing
 from pulleydeal.rollouts import state as st
-from pulleydeal.rollouts.decide import Decision, World, decide
+from pulleydeal.rollouts.decide import decide
 from pulleydeal.rollouts.description import Description
 from pulleydeal.rollouts.prober import Prober
 from pulleydeal.rollouts.seeing import Watch
+from pulleydeal.rollouts.seen import Decision, World
 from pulleydeal.store import records as r
 from pulleydeal.store.client import Unavailable, Unknown
 from pulleydeal.store.limits import TooLarge
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -17,11 +17,11 @@
 from pulleydeal.rollouts import health, seeing
 from pulleydeal.rollouts import state as st
 from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
-from pulleydeal.rollouts.decide import World
 from pulleydeal.rollouts.description import Check, DescriptionError, fits, parse
 from pulleydeal.rollouts.health import Answer, Copy
 from pulleydeal.rollouts.registry import Registration
 from pulleydeal.rollouts.seeing import Watch
+from pulleydeal.rollouts.seen import World
 from pulleydeal.settings import Team, load
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Replica
