--- a/pulleydeal/rollouts/decide.py
+++ b/pulleydeal/rollouts/decide.py
@@ -9,8 +9,20 @@
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
 from pulleydeal.rollouts.description import Description
-from pulleydeal.rollouts.seen import Decision, Seen, World, copy_of, line_of, named
-from pulleydeal.rollouts.state import Rollout, Service, Slot
+from pulleydeal.rollouts.seen import (
+    Decision,
+    Seen,
+    World,
+    copy_of,
+    emptiest,
+    line_of,
+    named,
+    version_of,
+)
+from pulleydeal.rollouts.state import Service, Slot
+
+# Who goes first when copies are to go: those that serve least.
+RANK = {UNHEALTHY: 0, QUEUED: 1, STARTING: 2, UNKNOWN: 3, HEALTHY: 4}
 
 
 def decide(service: Service, descriptions: dict[int, Description], world: World) -> Decision | None:
@@ -271,9 +283,8 @@
         nothing when others go.
         """
         crowd = Counter(x.slot.zone for x in self.present)
-        rank = {UNHEALTHY: 0, QUEUED: 1, STARTING: 2, UNKNOWN: 3, HEALTHY: 4}
         order = sorted(
-            candidates, key=lambda x: (rank[x.state], -crowd[x.slot.zone], x.slot.serial)
+            candidates, key=lambda x: (RANK[x.state], -crowd[x.slot.zone], x.slot.serial)
         )
         going: list[Seen] = []
         left = self.healthy
@@ -395,9 +406,7 @@
         if not d.spread and d.zones is None:
             return ""
         zones = self._zones_open(d) or [z for z in self.world.zones if not d.zones or z in d.zones]
-        crowd = Counter(x.slot.zone for x in self.present)
-        same = Counter(x.slot.zone for x in self.present if x.slot.version == self.main)
-        return min(zones, key=lambda z: (crowd[z], same[z], z))
+        return emptiest(zones, self.present, self.main)
 
     def _stuck(self, x: Seen) -> bool:
         """It waits for room in vain; soon for one that lost its machine where none is left."""
@@ -408,12 +417,3 @@
 
     def _slot(self, seen: Seen) -> Slot:
         return next(x for x in self.s.slots if x.serial == seen.slot.serial)
-
-
-def begin(service: Service, version: int, now: float) -> Decision:
-    """A roll-out of a version that stands already; there is none under way."""
-    s = copy_of(service)
-    s.rollouts += 1
-    s.removed = False
-    s.rollout = Rollout(s.rollouts, version, since=now, began=now)
-    return Decision(s, f"roll-out {s.rollouts} of version {version} starts")
--- a/pulleydeal/rollouts/interface.py
+++ b/pulleydeal/rollouts/interface.py
@@ -13,9 +13,8 @@
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts import registry
 from pulleydeal.rollouts import state as st
-from pulleydeal.rollouts.decide import begin
 from pulleydeal.rollouts.description import Description, DescriptionError, fits, parse
-from pulleydeal.rollouts.seen import Decision, copy_of
+from pulleydeal.rollouts.seen import Decision, begin, copy_of
 from pulleydeal.store.client import Unavailable, Unknown
 from pulleydeal.store.limits import TooLarge
 
--- a/pulleydeal/rollouts/seen.py
+++ b/pulleydeal/rollouts/seen.py
@@ -1,10 +1,11 @@
 """What decisions are made from and what they are, and how both are told to people."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 import msgspec
 
-from pulleydeal.rollouts.state import Service, Slot
+from pulleydeal.rollouts.state import Rollout, Service, Slot
 
 
 @dataclass(slots=True)
@@ -59,3 +60,19 @@
 
 def line_of(x: Seen) -> str:
     return f"copy {x.slot.serial} ({version_of(x.slot)}) {x.state} for {x.for_s:.0f} s: {x.why}"
+
+
+def begin(service: Service, version: int, now: float) -> Decision:
+    """A roll-out of a version that stands already; there is none under way."""
+    s = copy_of(service)
+    s.rollouts += 1
+    s.removed = False
+    s.rollout = Rollout(s.rollouts, version, since=now, began=now)
+    return Decision(s, f"roll-out {s.rollouts} of version {version} starts")
+
+
+def emptiest(zones: list[str], present: list[Seen], version: int) -> str:
+    """The zone with the fewest copies, over all versions, and then of this one."""
+    crowd = Counter(x.slot.zone for x in present)
+    same = Counter(x.slot.zone for x in present if x.slot.version == version)
+    return min(zones, key=lambda z: (crowd[z], same[z], z))
--- a/tests/test_rollout_decide.py
+++ b/tests/test_rollout_decide.py
@@ -12,9 +12,9 @@
 
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
-from pulleydeal.rollouts.decide import begin, decide
+from pulleydeal.rollouts.decide import decide
 from pulleydeal.rollouts.description import Check, Description
-from pulleydeal.rollouts.seen import Seen, World, copy_of
+from pulleydeal.rollouts.seen import Seen, World, begin, copy_of
 from pulleydeal.rollouts.state import Service, Slot
 
 ZONES = ["east", "west", "north"]
