Reads cron tables and decides what becomes of each instant (not switched on yet)

Need: both offices bring in cron tables as they are; every line obeys what native jobs obey. Change: pulleydeal/recurring: crontab(5) read whole or refused whole with line and column; lines become jobs by a mapping; cronsim over pinned tzdata, asked with a fixed shift between changes of the clock, as it goes wrong where clocks change at midnight; marks, overlap, missed; a heap of who is next; imports by one change; the leader's transactions of marks and jobs. Off: nothing is imported or installed. Result: 12 hard expressions; 180 random ones over a year in three zones equal a list worked out minute by minute by other means.

--- a/pulleydeal/features/settings.py
+++ b/pulleydeal/features/settings.py
@@ -23,9 +23,14 @@
     """Health-gated roll-outs of named services. Nothing to set yet: each service says its own."""
 
 
+class RecurringSettings(Struct, forbid_unknown_fields=True, frozen=True):
+    """Cron tables. Needs requirements-recurring.txt; nothing to set yet."""
+
+
 class Features(Struct, forbid_unknown_fields=True, frozen=True):
     operators: OperatorsSettings | None = None
     rollouts: RolloutsSettings | None = None
+    recurring: RecurringSettings | None = None
 
     def on(self) -> list[str]:
         """The names of all that is switched on."""
--- a/pulleydeal/features/switch.py
+++ b/pulleydeal/features/switch.py
@@ -39,4 +39,8 @@
         from pulleydeal.rollouts.service import Rollouts
 
         found.append(Rollouts(app))
+    if features.recurring is not None:
+        from pulleydeal.recurring.service import Recurring
+
+        found.append(Recurring(app))
     return found
--- /dev/null
+++ b/tests/test_cron.py
@@ -0,0 +1,297 @@
+"""Cron tables: what is read and refused, when lines fire, what becomes of an instant."""
+
+import random
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+from zoneinfo import ZoneInfo
+
+import msgspec
+import pytest
+
+from pulleydeal.recurring import constants as kc
+from pulleydeal.recurring import crontab, decide, mapping, schedule
+from pulleydeal.recurring import state as st
+from pulleydeal.recurring.crontab import split_percent
+from pulleydeal.recurring.decide import Due, Line, SteadyWall
+from tests import cron_expected
+
+TABLE = Path(__file__).parent / "traces" / "crontab.txt"
+MAPPING = """
+timezone = "Europe/Bratislava"
+[default]
+team = "core"
+class = "cron"
+image = "cron-1"
+cpus = 1.0
+memory_gb = 1.0
+run_s = 20.0
+"""
+
+
+# --- reading ---------------------------------------------------------------------------------
+def test_a_table_is_read_as_cron_reads_it() -> None:
+    entries, faults = crontab.read(TABLE.read_bytes())
+    assert faults == []
+    by_command = {entry.command: entry for entry in entries}
+    nightly = by_command["/usr/local/bin/rescore --all > /var/log/rescore 2>&1"]
+    assert (nightly.schedule, nightly.zone) == ("30 2 * * *", "")
+    assert nightly.env == {"SHELL": "/bin/bash", "PATH": "/usr/local/bin:/usr/bin", "MAILTO": ""}
+    assert by_command["gate --offer"].zone == "Africa/Nairobi"
+    assert by_command["gate --offer"].overrides == {"priority": "high", "overlap": "skip"}
+    assert by_command["mail -s 100% inspectors"].stdin == "Dear all,\nthe report.\n"
+    assert by_command["start"].schedule == "@reboot"
+    assert by_command["sweep"].schedule == "0 * * * *"
+
+
+@pytest.mark.parametrize(
+    ("line", "place", "told"),
+    [
+        ("60 * * * * x", 1, "minute: 60 is not from 0 to 59"),
+        ("* 24 * * * x", 3, "hour: 24 is not from 0 to 23"),
+        ("* * 0 * * x", 5, "day of month: 0 is not from 1 to 31"),
+        ("* * * 13 * x", 7, "month: 13 is not from 1 to 12"),
+        ("* * * * 8 x", 9, "day of week: 8 is not from 0 to 7"),
+        ("1,2,x * * * * x", 5, "minute: 'x' is no number"),
+        ("5-1 * * * * x", 1, "minute: the range 5-1 goes backwards"),
+        ("5/10 * * * * x", 1, "minute: a step needs a range"),
+        ("*/0 * * * * x", 1, "minute: the step '0' is no number above 0"),
+        ("1,,2 * * * * x", 3, "minute: an empty item"),
+        ("0~30 * * * * x", 1, "minute: random ranges (~)"),
+        ("* * L * * x", 5, "day of month: 'L' is no number"),
+        ("* * * * mon#2 x", 9, "day of week: 'mon#2' is no number or name"),
+        ("* * * * *", 10, "no command"),
+        ("* * * x", 8, "4 fields"),
+        ("@noon x", 1, "'@noon' is none of"),
+        ("  @daily", 9, "no command"),
+        ("* * * * * x\r", 12, "a carriage return"),
+        ("* * * * * " + "x" * 1000, 1001, "longer than"),
+    ],
+)
+def test_what_is_not_understood_is_refused_with_line_and_column(
+    line: str, place: int, told: str
+) -> None:
+    entries, faults = crontab.read(f"# first\n\n{line}\n* * * * * good\n".encode())
+    assert [(f.line, f.column) for f in faults] == [(3, place)]
+    assert faults[0].text.startswith(told)
+    assert entries  # the rest was read too: all faults are told at once
+
+
+def test_all_faults_are_told_at_once_and_bytes_that_are_no_text_too() -> None:
+    raw = b"61 * * * * a\n* 25 * * * b\n\xff\xfe\n# pulleydeal: priority\n* * * * * c"
+    _, faults = crontab.read(raw)
+    assert [f.line for f in faults] == [1, 2, 3, 4, 5]
+    assert "does not end" in faults[4].text and "not UTF-8" in faults[2].text
+
+
+def test_a_system_table_names_its_users() -> None:
+    entries, faults = crontab.read(b"17 * * * * root run-parts /etc/cron.hourly\n", system=True)
+    assert faults == [] and (entries[0].user, entries[0].command) == (
+        "root",
+        "run-parts /etc/cron.hourly",
+    )
+    assert crontab.read(b"17 * * * *\n", system=True)[1][0].text.startswith("a system table")
+
+
+def test_percent_signs_are_cron_s() -> None:
+    assert split_percent("a b") == ("a b", None)
+    assert split_percent(r"date +\%F") == ("date +%F", None)
+    assert split_percent("cat%one%two") == ("cat", "one\ntwo\n")
+
+
+def test_ids_stay_with_unchanged_lines_and_two_equal_lines_are_two() -> None:
+    before, _ = crontab.read(b"0 1 * * * a\n0 2 * * * b\n0 2 * * * b\n")
+    after, _ = crontab.read(b"# moved\n0 2 * * * b\nX=1\n0 3 * * * c\n0 2 * * * b\n0 1 * * * a\n")
+    assert len({e.id for e in before}) == 3
+    assert {e.id for e in before} < {e.id for e in after}
+    other, _ = crontab.read(b"CRON_TZ=UTC\n0 1 * * * a\n")
+    assert other[0].id != before[0].id
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_pieces_of_a_text_fit_and_give_it_back(seed: int) -> None:
+    rng = random.Random(seed)
+    text = "".join(rng.choice('ab"\\\n\t\x01žš€🎣 ') for _ in range(9_000))
+    pieces = st.pieces(text)
+    assert "".join(pieces) == text
+    assert all(len(msgspec.json.encode(piece)) < 1_900 for piece in pieces)
+    assert st.pieces("") == [""]
+
+
+# --- becoming jobs ---------------------------------------------------------------------------
+def test_lines_become_jobs_by_the_mapping_by_user_and_by_the_comment_before() -> None:
+    raw = MAPPING + "[user.ml]\nkind = 'gang'\ntasks = 4\n"
+    rules = mapping.parse("system = true\n" + raw)
+    table = b"# pulleydeal: tasks=2 priority=high types=t4+t8\n0 1 * * * ml train\n0 2 * * * ml x\n"
+    entries, _ = crontab.read(table, True)
+    jobs = [mapping.job_of(rules, entry) for entry in entries]
+    assert [(j.kind, j.tasks, j.priority, j.types) for j in jobs] == [
+        ("gang", 2, "high", ["t4", "t8"]),
+        ("gang", 4, "normal", None),
+    ]
+    spec = jobs[0].spec("j-8")
+    assert (spec.kind, spec.priority, spec.team) == ("gang", 2, "core")
+
+
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("[default]\nteam = 'core'\ncolour = 1\n", "default.colour: no such field"),
+        ("timezone = 'Mars/One'\n[default]\n", "timezone: 'Mars/One' is no time zone"),
+        ("[users.x]\n[default]\n", "unknown field `users`"),
+        ("[default\n", "line 1, column 9"),
+    ],
+)
+def test_a_bad_mapping_is_told_with_its_place(text: str, told: str) -> None:
+    with pytest.raises(mapping.MappingError, match=told):
+        mapping.parse(text, "map.toml")
+
+
+def test_a_line_that_can_never_fire_or_has_a_bad_override_is_a_fault() -> None:
+    rules = mapping.parse(MAPPING)
+    table = (
+        b"0 0 30 2 * x\n# pulleydeal: colour=red\n0 0 * * * y\n# pulleydeal: tasks=0\n0 0 * * * z\n"
+    )
+    entries, _ = crontab.read(table)
+    told = [mapping.check(rules, entry, 1_800_000_000)[1] for entry in entries]
+    assert [len(faults) for faults in told] == [1, 1, 1]
+    assert "colour" in told[1][0].text and "tasks" in told[2][0].text
+
+
+# --- when ------------------------------------------------------------------------------------
+def local(instants: list[int], zone: str) -> list[str]:
+    tz = ZoneInfo(zone)
+    return [
+        datetime.fromtimestamp(i, UTC).astimezone(tz).strftime("%m-%d %H:%M%z") for i in instants
+    ]
+
+
+def following(expression: str, zone: str, start: str, count: int) -> list[int]:
+    at = int(datetime.fromisoformat(start).replace(tzinfo=UTC).timestamp())
+    found = []
+    for _ in range(count):
+        instant = schedule.after(expression, zone, at)
+        assert instant is not None
+        found.append(instant)
+        at = instant
+    return found
+
+
+# Expression, zone, from (UTC), the next two instants on the clock of the zone.
+HARD = """
+30 2 * * *    | Europe/Bratislava | 2027-03-27T12:00 | 03-28 03:00+0200 | 03-29 02:30+0200
+15,45 2 * * * | Europe/Bratislava | 2027-03-27T12:00 | 03-28 03:00+0200 | 03-29 02:15+0200
+*/30 * * * *  | Europe/Bratislava | 2027-03-28T00:01 | 03-28 01:30+0100 | 03-28 03:00+0200
+*/15 2 * * *  | Europe/Bratislava | 2027-03-28T00:01 | 03-29 02:00+0200 | 03-29 02:15+0200
+30 2 * * *    | Europe/Bratislava | 2027-10-30T12:00 | 10-31 02:30+0200 | 11-01 02:30+0100
+30 * * * *    | Europe/Bratislava | 2027-10-31T00:00 | 10-31 02:30+0200 | 10-31 02:30+0100
+30 0 * * *    | America/Santiago  | 2027-09-04T12:00 | 09-05 01:00-0300 | 09-06 00:30-0300
+*/30 */6 * * * | America/Santiago | 2027-09-04T23:00 | 09-05 06:00-0300 | 09-05 06:30-0300
+0 0 29 2 *    | Africa/Nairobi    | 2027-01-01T00:00 | 02-29 00:00+0300 | 02-29 00:00+0300
+0 0 13 * 5    | UTC               | 2027-01-01T01:00 | 01-08 00:00+0000 | 01-13 00:00+0000
+0 0 */2 * 1   | UTC               | 2027-01-01T01:00 | 01-11 00:00+0000 | 01-25 00:00+0000
+0 0 * * 7     | UTC               | 2027-01-01T01:00 | 01-03 00:00+0000 | 01-10 00:00+0000
+"""
+CASES = [[x.strip() for x in row.split("|")] for row in HARD.strip().splitlines()]
+
+
+@pytest.mark.parametrize("case", CASES, ids=[f"{c[0]} {c[1]}" for c in CASES])
+def test_hard_expressions_fire_as_debian_s_cron(case: list[str]) -> None:
+    expression, zone, start, *expected = case
+    assert local(following(expression, zone, start, 2), zone) == expected
+
+
+@pytest.mark.parametrize("zone", ["Europe/Bratislava", "Africa/Nairobi", "America/Santiago"])
+def test_a_year_of_varied_expressions_equals_a_list_worked_out_by_minutes(zone: str) -> None:
+    rng = random.Random(zone)
+    begin = datetime(2027, 1, 1, tzinfo=UTC)
+    first, last = int(begin.timestamp()), int((begin + timedelta(days=365)).timestamp())
+    year = cron_expected.Year(zone, first, last)
+    for _ in range(60):
+        expression = cron_expected.random_expression(rng)
+        expected = year.firings(expression)
+        at, found = first - 1, []
+        while (instant := schedule.after(expression, zone, at)) is not None and instant < last:
+            found.append(instant)
+            at = instant
+            if len(found) > len(expected) + 3:
+                break
+        assert found == expected, expression
+
+
+# --- what becomes of an instant ----------------------------------------------------------------
+def line(expression: str = "0 * * * *", **rules: object) -> Line:
+    job = mapping.job_of(mapping.parse(MAPPING), crontab.read(b"0 0 * * * x\n")[0][0])
+    changed = msgspec.structs.replace(job, **rules)
+    return Line("0" * 16, 1, expression, "UTC", changed)
+
+
+HOUR = 1_800_000_000 - 1_800_000_000 % 3600
+
+
+def test_a_line_begins_with_the_version_that_brought_it_in_and_stays_with_its_mark() -> None:
+    one = line()
+    new = st.Mark(HOUR - 100, 0, 0, "v1")
+    assert decide.next_instant(one, new, "v1", HOUR + 10) == HOUR + 3600
+    assert decide.next_instant(one, new, "v2", HOUR + 9_000) == HOUR  # unchanged by version 2
+    fired = st.Mark(HOUR, 1, HOUR, "v1")
+    assert decide.next_instant(one, fired, "v2", HOUR + 9_000) == HOUR + 3600
+    assert decide.next_instant(one, fired, "v1", HOUR, HOUR + 4_000) == HOUR + 7200  # paused
+    boot = line("@reboot")
+    assert decide.next_instant(boot, new, "v1", HOUR) == HOUR
+    assert decide.next_instant(boot, st.Mark(HOUR, 1, HOUR, "v1"), "v1", HOUR) is None
+    assert decide.next_instant(boot, new, "v2", HOUR) is None
+
+
+def test_late_by_pacing_fires_and_missed_by_an_outage_follows_the_rule() -> None:
+    soon = HOUR + int(kc.LATE_S)
+    assert decide.outcome(line(), None, HOUR, soon, False, "").what == "fire"
+    missed = decide.outcome(line(), None, HOUR, HOUR + 3 * 3600 + 1000, False, "")
+    assert (missed.what, missed.instant, missed.missed_since) == ("miss", HOUR + 3 * 3600, HOUR)
+    once = decide.outcome(line(missed="once"), None, HOUR, HOUR + 3 * 3600 + 1000, False, "")
+    assert (once.what, once.instant, once.missed_since) == ("fire", HOUR + 3 * 3600, HOUR)
+    # The last one is not late: it fires by itself once the missed ones are over.
+    partly = decide.outcome(line(), None, HOUR, HOUR + 3 * 3600 + 10, False, "")
+    assert (partly.what, partly.instant) == ("miss", HOUR + 2 * 3600)
+
+
+def test_overlap_and_limits_that_have_shrunk() -> None:
+    for overlap, what, replace in (
+        ("allow", "fire", False),
+        ("skip", "skip", False),
+        ("replace", "fire", True),
+    ):
+        found = decide.outcome(line(overlap=overlap), None, HOUR, HOUR, True, "")
+        assert (found.what, found.replace) == (what, replace)
+        assert decide.outcome(line(overlap=overlap), None, HOUR, HOUR, False, "").what == "fire"
+    refused = decide.outcome(line(), None, HOUR, HOUR, False, "needs more than its team's limit")
+    assert refused.what == "refuse"
+    mark = decide.marked(st.Mark(1, 7, 1, "v"), refused, "w")
+    assert (mark.fired, mark.count, mark.job_at, mark.born) == (HOUR, 7, 1, "v")
+    assert mark.note.startswith("refuse: needs more")
+
+
+def test_due_lines_go_by_priority_then_lateness() -> None:
+    due = [
+        Due(line(priority="normal"), 10),
+        Due(line(priority="high"), 20),
+        Due(line(priority="normal"), 5),
+    ]
+    due.sort(key=Due.order)
+    assert [(d.line.job.priority, d.instant) for d in due] == [
+        ("high", 20),
+        ("normal", 5),
+        ("normal", 10),
+    ]
+
+
+def test_a_clock_that_jumps_is_believed_only_after_it_has_stood() -> None:
+    wall = SteadyWall()
+    assert wall.now(0.0, 1000.0) == 1000.0
+    assert wall.now(10.0, 1010.3) == 1010.3  # drift within its bound
+    assert wall.now(11.0, 4611.0) == pytest.approx(1011.3)  # an hour forward
+    assert wall.now(40.0, 4640.0) == pytest.approx(1040.3)
+    assert wall.now(41.0, 1041.0) == 1041.0  # and back again: nothing has happened
+    assert wall.now(50.0, -2550.0) == pytest.approx(1050.0)  # an hour back
+    for second in range(51, 110):
+        assert wall.now(second, second - 2600.0) == pytest.approx(1000.0 + second)
+    assert wall.now(111.0, -2489.0) == -2489.0  # it stays: believed
