--- a/pulleydeal/cli.py
+++ b/pulleydeal/cli.py
@@ -52,6 +52,7 @@
         command.add_argument("--node", required=True, help="a node's address, HOST:PORT")
     for name in ("rollout", "service"):
         commands.add_parser(name, help="named services and their roll-outs: see its own --help")
+    commands.add_parser("cron", help="cron tables: see its own --help")
     return top
 
 
@@ -63,6 +64,10 @@
         from pulleydeal.rollouts.cli import main as rollouts
 
         return rollouts(args)
+    if args and args[0] == "cron":
+        from pulleydeal.recurring.cli import main as cron
+
+        return cron(args[1:])
     options = parser().parse_args(args)
     if options.command in ("serve", "check"):
         try:
--- a/pulleydeal/rollouts/cli.py
+++ b/pulleydeal/rollouts/cli.py
@@ -5,26 +5,27 @@
 """
 
 import argparse
-import http.client
-import json
 import os
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
+from pulleydeal.operators.client import (
+    DEFAULT,
+    VARIABLE,
+    Failed,
+    ask,
+    everything,
+    rows,
+    show_json,
+    table,
+)
 from pulleydeal.rollouts.description import DescriptionError, read
-from pulleydeal.settings import split_address
 
-DEFAULT = "127.0.0.1:9180"
-VARIABLE = "PULLEYDEAL_OPERATORS"
 LOOK_S = 1.0  # between two looks of `watch`
 
 
-class Failed(Exception):
-    """A request that was refused or not answered; the text says why."""
-
-
 def parser() -> argparse.ArgumentParser:
     top = argparse.ArgumentParser(prog="pulleydeal", description=__doc__)
     groups = top.add_subparsers(dest="group", required=True)
@@ -52,23 +53,6 @@
     return top
 
 
-def ask(address: str, method: str, path: str, body: bytes = b"") -> Any:
-    """The answer, decoded. Raises Failed with the sentence that came, or why none did."""
-    try:
-        host, port = split_address(address)
-        connection = http.client.HTTPConnection(host, port, timeout=10)
-        connection.request(method, path, body)
-        response = connection.getresponse()
-        raw = response.read()
-        found = json.loads(raw)
-    except (OSError, ValueError, RecursionError, http.client.HTTPException) as error:
-        raise Failed(f"{address}: {error}") from error
-    if response.status != 200:
-        told = found.get("error", {}) if isinstance(found, dict) else {}
-        raise Failed(told.get("message", f"{response.status} {raw[:200]!r}"))
-    return found
-
-
 def main(argv: list[str]) -> int:
     options = parser().parse_args(argv)
     try:
@@ -121,46 +105,6 @@
     return show_endpoints(found) if verb == "endpoints" else show_service(found)
 
 
-def everything(address: str, path: str) -> list[dict[str, Any]]:
-    """All pages of a list."""
-    items: list[dict[str, Any]] = []
-    after = ""
-    while True:
-        found = ask(address, "GET", f"{path}?limit=500" + (f"&after={after}" if after else ""))
-        items += found["items"]
-        if found["next"] is None:
-            return items
-        after = found["next"]
-
-
-# --- showing -----------------------------------------------------------------------------------
-def show_json(found: Any) -> int:
-    print(json.dumps(found, indent=2))
-    return 0
-
-
-def rows(title: str, names: list[str], lines: list[list[str]]) -> None:
-    try:
-        from rich.console import Console
-        from rich.table import Table
-    except ModuleNotFoundError:
-        widths = [max(len(x) for x in column) for column in zip(names, *lines, strict=True)]
-        print(title)
-        for line in [names, *lines]:
-            print("  ".join(x.ljust(w) for x, w in zip(line, widths, strict=True)).rstrip())
-        return
-    Console().print(table(Table, title, names, lines))
-
-
-def table(kind: Any, title: str, names: list[str], lines: list[list[str]]) -> Any:
-    made = kind(title=title, title_justify="left")
-    for name in names:
-        made.add_column(name)
-    for line in lines:
-        made.add_row(*line)
-    return made
-
-
 def show_list(found: list[dict[str, Any]]) -> int:
     names = ["service", "state", "good", "copies", "ready"]
     rows("services", names, [[str(x[name]) for name in names] for x in found])
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -160,4 +160,5 @@
     spec = found[0].get("spec") if found else None
     if spec is None:
         return None
-    return described(msgspec.convert(spec, r.JobSpec)) | {"_run_s": 0.0}
+    words = described(msgspec.convert(spec, r.JobSpec))
+    return words | {"_run_s": words["haul_s"]}
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -13,12 +13,14 @@
                                                  behind; its machines are up, and their tasks lost
   capacity COUNT                                 machines to be had of each kind in each zone
   crowd JOB COUNT KIND TASKS RUN_S [name=value ...]   COUNT users submit at once, from JOB on
-  features rollouts   (among the first events)   nodes have roll-outs on
+  features on         (among the first events)   nodes have all features on
   describe SERVICE [name=value ...]              how its next versions are described
   behave IMAGE [name=value ...]                  how copies of an image behave (copies.Behaviour)
   roll SERVICE IMAGE                             an operator starts a roll-out of that image
   operator SERVICE pause|resume|abort|remove
   promise SERVICE FLOOR                          from now on that many copies are truly healthy
+  cron TABLE FILE [name=value ...]               a cron table is brought in (tests/traces/FILE)
+  table TABLE pause|resume|remove | fired COUNT  jobs of recurring lines so far
   expect service SERVICE STATE GOOD COPIES
   expect JOB STATE [COUNT] | expect machines COUNT[+] | expect starts COUNT | expect NODE UP
 """
@@ -412,7 +414,7 @@
     asyncio.set_event_loop(loop)
     scenario = Scenario(loop, network, seed)
     seen = [line.partition("#")[0].split() for line in path.read_text().splitlines()]
-    if any(words[1:3] == ["features", "rollouts"] for words in seen):
+    if any(words[1:2] == ["features"] for words in seen):
         scenario.services = ServiceEvents(scenario)
     events = [line for line in path.read_text().splitlines() if line.partition("#")[0].strip()]
     records = None
--- a/standins/service_events.py
+++ b/standins/service_events.py
@@ -1,9 +1,15 @@
 """A scenario's events about named services; what copies and consumers then see is checked."""
 
 import asyncio
+from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from pulleydeal.features.settings import Features, OperatorsSettings, RolloutsSettings
+from pulleydeal.features.settings import (
+    Features,
+    OperatorsSettings,
+    RecurringSettings,
+    RolloutsSettings,
+)
 from standins.copies import Behaviour, Copies, look_up
 from standins.net import on_host
 from standins.services import Consumer, Floor, Operator, Watcher, toml
@@ -13,6 +19,17 @@
     from standins.scenario import Scenario
 
 FIRST_PORT = 20_000
+TRACES = Path(__file__).resolve().parent.parent / "tests" / "traces"
+CRON = {
+    "team": "core",
+    "class": "cron",
+    "image": "img-1",
+    "image_gb": 1.0,
+    "cpus": 1.0,
+    "memory_gb": 1.0,
+    "run_s": 5.0,
+    "spot": True,
+}
 EVERY_S = 0.25  # between two requests of a consumer
 CHECK = {"every_s": 1.0, "timeout_s": 0.5, "healthy_after": 2, "unhealthy_after": 3}
 USUAL = {
@@ -51,7 +68,7 @@
 
     def features(self, node: str) -> Features:
         address = f"{self._s._nodes[node]}:9180"  # in the simulated world a host is its own
-        return Features(OperatorsSettings(address), RolloutsSettings())
+        return Features(OperatorsSettings(address), RolloutsSettings(), RecurringSettings())
 
     def _runs(self, worker: Worker, lift: str, running: Running) -> None:
         self._port += 1
@@ -111,6 +128,42 @@
         now = self._clock.now()
         self.watcher.floors[service].ranges.append((now, now + float(for_s)))
 
+    # --- cron -------------------------------------------------------------------------------
+    def do_cron(self, table: str, file: str, *more: str) -> None:
+        """Brings in tests/traces/FILE; further words go into the mapping's defaults."""
+        on_host(self._s._users, self._cron(table, file, more))
+
+    async def _cron(self, table: str, file: str, more: tuple[str, ...]) -> None:
+        values: dict[str, Any] = dict(CRON)
+        for word in more:
+            name, _, value = word.partition("=")
+            values[name] = (
+                float(value) if "." in value else int(value) if value.isdigit() else value
+            )
+        text = (TRACES / file).read_text()
+        raw = toml({"default": values})
+        # An upload is in one node's memory, so the import goes to the same node, or all again.
+        for name in [*self._operator.addresses] * 10:
+            one = Operator({name: self._operator.addresses[name]}, self._clock)
+            status, _ = await one.ask("POST", f"/v1/cron/uploads/{table}?at=0", text, 1)
+            if status == 200:
+                status, found = await one.ask("POST", f"/v1/cron/tables/{table}", raw, 1)
+                if status == 200:
+                    return
+                if status == 422:
+                    break
+            await asyncio.sleep(0.5)
+        self._s.failures.append(f"{self._clock.now():.1f}: cron {table}: {status} {found}")
+
+    def do_table(self, table: str, what: str) -> None:
+        on_host(self._s._users, self._operator.ask("POST", f"/v1/cron/tables/{table}/{what}"))
+
+    def do_fired(self, count: str) -> None:
+        """So many jobs of recurring lines have been accepted by now, in all."""
+        there = sum(key.startswith("p/j/j-8") for key in self._s.state.keys)
+        if there != int(count):
+            self._s.failures.append(f"{self._clock.now():.1f}: {there} fired, not {count}")
+
     async def expect(self, service: str, state: str, good: str, copies: str) -> None:
         _, found = await self._operator.ask("GET", f"/v1/services/{service}")
         seen = (found.get("state"), found.get("good"), found.get("ready"))
--- a/standins/services.py
+++ b/standins/services.py
@@ -44,12 +44,12 @@
     """Asks the operators' interface of one node after the other until one decides."""
 
     def __init__(self, addresses: dict[str, str], clock: Clock) -> None:
-        self._addresses, self._clock = addresses, clock
+        self.addresses, self._clock = addresses, clock
 
     async def ask(self, method: str, path: str, text: str = "", tries: int = 30) -> tuple[int, Any]:
         for turn in range(tries):
-            name = sorted(self._addresses)[turn % len(self._addresses)]
-            client = Client(self._addresses[name], self._clock)
+            name = sorted(self.addresses)[turn % len(self.addresses)]
+            client = Client(self.addresses[name], self._clock)
             try:
                 status, raw = await client.send(method, path, text.encode(), 5.0)
             except NoAnswer:
