--- a/standins/service_events.py
+++ b/standins/service_events.py
@@ -1,6 +1,7 @@
 """A scenario's events about named services; what copies and consumers then see is checked."""
 
 import asyncio
+import json
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -137,9 +138,7 @@
         values: dict[str, Any] = dict(CRON)
         for word in more:
             name, _, value = word.partition("=")
-            values[name] = (
-                float(value) if "." in value else int(value) if value.isdigit() else value
-            )
+            values[name] = json.loads(value) if value[:1] in "0123456789tf" else value
         text = (TRACES / file).read_text()
         raw = toml({"default": values})
         # An upload is in one node's memory, so the import goes to the same node, or all again.
