--- a/pulleydeal/recurring/service.py
+++ b/pulleydeal/recurring/service.py
@@ -76,8 +76,11 @@
 
     # --- leading ------------------------------------------------------------------------------
     async def tick(self) -> None:
-        """One round over the tables that are led here."""
         await asyncio.sleep(kc.TICK_S)
+        await self.round()
+
+    async def round(self) -> None:
+        """One look at the tables that are led here."""
         now = self._wall.now(self.clock.now(), self.clock.wall())
         if not self.records.ready:
             self.loaded.clear()
--- /dev/null
+++ b/standins/cron_engine.py
@@ -0,0 +1,201 @@
+"""Leaders of cron tables over a state service in memory: losses, outages, late answers, lag.
+
+No nodes and no network: what is tried is that each instant begins one job whoever leads and
+whatever was answered, over simulated years. Time moves from one instant to the next.
+"""
+
+import random
+from collections import Counter
+from typing import Any
+
+import msgspec
+
+from pulleydeal.recurring import state as st
+from pulleydeal.recurring.service import Recurring
+from pulleydeal.settings import Team
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+from pulleydeal.store.client import Unavailable, Unknown
+from pulleydeal.store.limits import Limits
+from pulleydeal.store.replica import Replica
+
+TYPE = r.MachineType("t4", 64.0, 8.0, 512.0, 50.0, 1.0, 9.0, 3.0, 45.0, ["east"])
+
+
+class World:
+    """The state service, the time, and who leads."""
+
+    def __init__(self, seed: int, now: float) -> None:
+        self.rng = random.Random(seed)
+        self.now = now
+        self.marks: dict[str, int] = {}
+        self.revision = 0
+        self.nodes: list[Node] = []
+        self.leads = self.outages = 0
+        self.accepted: Counter[str] = Counter()
+        self.down_until = 0.0
+        self.leader = "a"
+        self.late: list[tuple[float, dict[str, int], dict[str, bytes], list[str]]] = []
+        self.trouble = 0.0  # share of transactions without an answer
+        self.transactions = 0
+        self.kept: dict[str, m.Event] = {}  # for nodes that come later
+        self.apply({}, {r.VIEW: msgspec.json.encode(r.View(1))}, [])
+
+    def apply(self, read: dict[str, int], puts: dict[str, bytes], drops: list[str]) -> bool:
+        if any(self.marks.get(key, 0) != mark for key, mark in read.items()):
+            return False
+        self.transactions += 1
+        self.revision += 1
+        for key, value in puts.items():
+            self.marks[key] = self.revision
+            if key.startswith("p/j/"):
+                self.accepted[key.removeprefix("p/j/")] += 1  # known, and not kept
+            else:
+                self._tell(m.Event(self.revision, key, None, msgspec.Raw(value)))
+        for key in drops:
+            self.marks.pop(key, None)
+            self._tell(m.Event(self.revision, None, key))
+        return True
+
+    def _tell(self, event: m.Event) -> None:
+        if event.put is not None:
+            self.kept[event.put] = event
+        elif event.delete is not None:
+            self.kept.pop(event.delete, None)
+        for node in self.nodes:
+            node.events.append(event)
+
+    def lead(self, name: str) -> None:
+        """Another leads from now on: the view moves, so what the one before sends fails."""
+        self.leader = name
+        self.leads += 1
+        self.apply({}, {r.VIEW: msgspec.json.encode(r.View(self.revision))}, [])
+
+    def catch_up(self) -> None:
+        for at, read, puts, drops in [x for x in self.late if x[0] <= self.now]:
+            self.late.remove((at, read, puts, drops))
+            self.apply(read, puts, drops)
+
+
+class Node:
+    """One node's membership, store and clock, in the shape that the service asks for."""
+
+    is_member = True
+
+    def __init__(self, name: str, world: World, off_s: float) -> None:
+        self.me, self.world, self._off_s = name, world, off_s
+        self.replica = Replica()
+        self.limits = Limits(2_000, 10)
+        self.serves: dict[str, int] = {}
+        self.teams = {"core": Team("core")}
+        self.zones = ["east"]
+        me: Any = self
+        self.clock = self.store = self.membership = self.client = me
+        self.events: list[m.Event] = sorted(world.kept.values(), key=lambda e: e.version)
+        world.nodes.append(self)
+        self.recurring = Recurring(me)
+        self.replica.types = {"t4": TYPE}
+
+    # --- clock and membership -----------------------------------------------------------------
+    def now(self) -> float:
+        return self.world.now
+
+    def wall(self) -> float:
+        return self.world.now + self._off_s
+
+    def all_serve(self, feature: str, format_: int) -> bool:
+        return True
+
+    def leads(self, thing: str) -> bool:
+        return self.world.leader == self.me
+
+    def leader(self, thing: str) -> str:
+        return self.world.leader
+
+    # --- store ----------------------------------------------------------------------------------
+    def follow(self) -> None:
+        events, self.events = self.events, []
+        self.replica.loaded = True
+        self.replica.apply(m.Changes(self.world.revision, events))
+        self.replica.types = {"t4": TYPE}
+
+    async def commit(
+        self,
+        read: dict[str, int],
+        puts: dict[str, object],
+        drops: list[str] | None = None,
+        turn: object = None,
+    ) -> bool:
+        world = self.world
+        raw = {key: msgspec.json.encode(value) for key, value in puts.items()}
+        self.limits.check(read, raw, drops or [])
+        if world.now < world.down_until:
+            raise Unavailable("outage")
+        if world.rng.random() < world.trouble:
+            which = world.rng.randrange(3)
+            if which == 0:
+                world.apply(read, raw, drops or [])
+            elif which == 1:
+                world.late.append((world.now + world.rng.uniform(1, 90), read, raw, drops or []))
+            raise Unknown("no answer")
+        done = world.apply(read, raw, drops or [])
+        self.follow()
+        return done
+
+    async def look(self) -> None:
+        """One round of the service at this moment."""
+        self.follow()
+        await self.recurring.round()
+
+
+async def bring_in(node: Node, table: str, text: bytes, mapping: str) -> None:
+    imports = node.recurring.interface.imports
+    node.follow()
+    imports.upload(table, 0, text)
+    plan = await imports.plan(table, mapping)
+    await imports.carry_out(table, plan)
+
+
+def next_instant(nodes: list[Node]) -> float | None:
+    """When the first line of any table that is led falls due."""
+    found = [
+        loaded.queue[0][0]
+        for node in nodes
+        for loaded in node.recurring.loaded.values()
+        if loaded.queue
+    ]
+    return min(found, default=None)
+
+
+async def live(world: World, nodes: list[Node], until: float, trouble: bool) -> None:
+    """Goes from instant to instant; leaders are lost and outages come at random."""
+    rng = world.rng
+    while world.now < until:
+        instant = next_instant(nodes)
+        if instant is None or instant <= world.now:
+            world.now += rng.uniform(0.3, 2.0)
+        else:
+            world.now = min(until, instant + rng.uniform(-2.0, 1.5))
+        if trouble:
+            luck = rng.random()
+            if luck < 0.02:
+                world.lead(rng.choice([node.me for node in nodes]))
+            elif luck < 0.03:
+                world.outages += 1
+                world.down_until = world.now + rng.uniform(1.0, 120.0)
+            elif luck < 0.035:  # all nodes are down, and come back with nothing
+                world.now += rng.uniform(1.0, 100.0)
+                for node in nodes:
+                    node.recurring.loaded.clear()
+        world.catch_up()
+        for node in nodes:
+            await node.look()
+
+
+def wanted(table: str, expected: dict[str, list[int]]) -> set[str]:
+    """The ids of the jobs that lines should have begun, by line."""
+    return {
+        st.job_id(table, line, instant)
+        for line, instants in expected.items()
+        for instant in instants
+    }
--- a/tests/test_cron.py
+++ b/tests/test_cron.py
@@ -13,7 +13,7 @@
 from pulleydeal.recurring import state as st
 from pulleydeal.recurring.crontab import split_percent
 from pulleydeal.recurring.decide import Due, Line, SteadyWall
-from tests import cron_expected
+from standins import cron_expected
 
 TABLE = Path(__file__).parent / "traces" / "crontab.txt"
 MAPPING = """
