--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,7 +12,8 @@
 from standins.town import Town, TownError, job
 
 FIRST_PORT = 8080
-FEATURES = '[operators]\nlisten = "127.0.0.1:{operators}"\n[rollouts]\n'
+OPERATORS = '[operators]\nlisten = "127.0.0.1:{operators}"\n'
+SECTIONS = {"rollouts": "[rollouts]\n", "cron": "[recurring]\n"}
 JOBS = {"j-1": [], "j-2": ["j-1"], "j-3": ["j-1", "j-2"]}
 DONE_S = 180.0  # the demo's jobs take some 40 s; later than this something is wrong
 ASK_S = 1.0
@@ -26,6 +27,7 @@
     words.add_argument(
         "--rollouts", action="store_true", help="with the operators' interface and roll-outs on"
     )
+    words.add_argument("--cron", action="store_true", help="and with cron tables on")
     words.add_argument("--dir", type=Path, help="for settings, logs, jobs (default: a new one)")
     words.add_argument("--setup", action="store_true", help="install what a node needs first")
     return words
@@ -80,7 +82,7 @@
     try:
         await town.start()
         nodes = ", ".join(f"{n} {a}" for n, a in town.nodes.items())
-        if town.copies.all:
+        if town.told:
             operators = ", ".join(f"{n} 127.0.0.1:{p}" for n, p in town.operators.items())
             print(f"operators: {operators}")
         print(f"serving: {nodes}; settings, logs and jobs in {town.folder}", flush=True)
@@ -107,9 +109,11 @@
         return 2
     folder = options.dir or Path(tempfile.mkdtemp(prefix="pulleydeal-demo-"))
     try:
-        text = FEATURES if options.rollouts else ""
+        text = "".join(SECTIONS[word] for word in SECTIONS if getattr(options, word))
+        text = OPERATORS + text if text else ""
         town = Town(folder, options.nodes, options.port, features=text)
         town.copies.all = options.rollouts
+        town.told = bool(text)
         asyncio.run(play(town, options.seconds))
     except TownError as error:
         print(f"demo: {error}", file=sys.stderr)
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -13,6 +13,7 @@
         self.broken: list[str] = []
         self.places: dict[str, dict[str, str]] = {}  # lift -> block -> yard
         self.starts = 0
+        self.usage: dict[str, list[float]] = {}  # team -> accelerators in use, at each change
         self._told: dict[str, str] = {}
         self._cancelled: dict[str, float] = {}
 
@@ -63,18 +64,24 @@
             self._break("wrong_place", f"{lift}: too many in {yard}")
         self.places.setdefault(lift, {})[block] = yard
         limit = self._limits[job["crew"]]
+        used = self._used(job["crew"])
+        if limit and used > limit:
+            self._break("quota", f"{job['crew']} uses {used} of {limit}")
+        self.check_cancelled()
+
+    def _used(self, team: str) -> float:
         used = sum(
             self.uploads[k.rpartition("/")[0]]["accelerators"] * len(blocks)
             for k, blocks in self.places.items()
-            if self.uploads[k.rpartition("/")[0]]["crew"] == job["crew"]
+            if self.uploads[k.rpartition("/")[0]]["crew"] == team
         )
-        if limit and used > limit:
-            self._break("quota", f"{job['crew']} uses {used} of {limit}")
-        self.check_cancelled()
+        self.usage.setdefault(team, []).append(float(used))
+        return float(used)
 
     def off(self, lift: str, block: str) -> None:
         self.check_cancelled()
-        self.places.get(lift, {}).pop(block, None)
+        if self.places.get(lift, {}).pop(block, None) is not None:
+            self._used(self.uploads[lift.rpartition("/")[0]]["crew"])
 
     def check_cancelled(self) -> None:
         for lift, blocks in self.places.items():
--- a/standins/town.py
+++ b/standins/town.py
@@ -101,6 +101,7 @@
         self.nodes = {name: f"{LOCAL}:{p[0]}" for name, p in zip(names, own, strict=True)}
         self._back = {name: f"{LOCAL}:{p[1]}" for name, p in zip(names, own, strict=True)}
         self.operators = {name: p[2] for name, p in zip(names, own, strict=True)}
+        self.told = False  # whether operators are told where to ask
         self.up_s = UP_S  # a node that does not serve by then has failed
         self.zone_of = {name: ZONES[i % len(ZONES)] for i, name in enumerate(names)}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
