--- a/pulleydeal/operators/client.py
+++ b/pulleydeal/operators/client.py
@@ -2,7 +2,9 @@
 
 import http.client
 import json
-from typing import Any
+import sys
+from collections.abc import Callable
+from typing import Any, Protocol, cast
 
 from pulleydeal.settings import split_address
 
@@ -31,6 +33,25 @@
     return found
 
 
+class Faulty(Protocol):
+    """An error that has a line for each fault, with its place."""
+
+    faults: list[str]
+
+
+def exit_code(work: Callable[[], int], faulty: type[Exception]) -> int:
+    """What a command ends with: its own code, 2 for faults in what was given, 1 if refused."""
+    try:
+        return work()
+    except faulty as error:
+        lines, code = cast(Faulty, error).faults, 2
+    except Failed as error:
+        lines, code = str(error).splitlines(), 1
+    for line in lines:
+        print(f"pulleydeal: {line}", file=sys.stderr)
+    return code
+
+
 def everything(address: str, path: str) -> list[dict[str, Any]]:
     """All pages of a list."""
     items: list[dict[str, Any]] = []
--- a/pulleydeal/recurring/cli.py
+++ b/pulleydeal/recurring/cli.py
@@ -8,7 +8,16 @@
 from pathlib import Path
 from typing import Any
 
-from pulleydeal.operators.client import DEFAULT, VARIABLE, Failed, ask, everything, rows, show_json
+from pulleydeal.operators.client import (
+    DEFAULT,
+    VARIABLE,
+    Failed,
+    ask,
+    everything,
+    exit_code,
+    rows,
+    show_json,
+)
 from pulleydeal.recurring import constants as kc
 from pulleydeal.recurring import crontab, mapping, schedule
 from pulleydeal.recurring.crontab import Entry, Fault
@@ -59,16 +68,7 @@
 
 def main(argv: list[str]) -> int:
     options = parser().parse_args(argv)
-    try:
-        return run(options)
-    except BadTable as error:
-        for fault in error.faults:
-            print(f"pulleydeal: {fault}", file=sys.stderr)
-        return 2
-    except Failed as error:
-        for line in str(error).splitlines():
-            print(f"pulleydeal: {line}", file=sys.stderr)
-        return 1
+    return exit_code(lambda: run(options), BadTable)
 
 
 # --- reading -----------------------------------------------------------------------------------
--- a/pulleydeal/rollouts/cli.py
+++ b/pulleydeal/rollouts/cli.py
@@ -6,7 +6,6 @@
 
 import argparse
 import os
-import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -17,6 +16,7 @@
     Failed,
     ask,
     everything,
+    exit_code,
     rows,
     show_json,
     table,
@@ -55,16 +55,7 @@
 
 def main(argv: list[str]) -> int:
     options = parser().parse_args(argv)
-    try:
-        return run(options)
-    except DescriptionError as error:
-        for fault in error.faults:
-            print(f"pulleydeal: {fault}", file=sys.stderr)
-        return 2
-    except Failed as error:
-        for line in str(error).splitlines():
-            print(f"pulleydeal: {line}", file=sys.stderr)
-        return 1
+    return exit_code(lambda: run(options), DescriptionError)
 
 
 def run(options: argparse.Namespace) -> int:
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -45,6 +45,7 @@
     leaving: bool = False
     stopped: bool = False
     answered: dict[int, int] = field(default_factory=dict)
+    first_bad: dict[str, float] = field(default_factory=dict)  # image -> when one first failed
 
     def good(self) -> bool:
         """Whether it serves now: what a checker compares with what was promised."""
@@ -59,6 +60,8 @@
 
     async def handle(self, request: Request) -> Response:
         good = self.good()
+        if not good:
+            self.first_bad.setdefault(self.image, self.clock.now())
         if not good and self.behaviour.silent:
             await asyncio.sleep(3600.0)
         if request.path == "/work":
@@ -119,6 +122,7 @@
         self.behaviours: dict[str, Behaviour] = {}  # image -> how its copies behave
         self.services: dict[str, str] = {}  # class of jobs -> service
         self.all = False  # every standing job is a copy, of the service that its class names
+        self.first_bad: dict[str, float] = {}
         self.live: dict[str, tuple[Copy, asyncio.Task[None]]] = {}
         self.changed: Callable[[], None] = lambda: None
 
@@ -129,6 +133,7 @@
         behaviour = self.behaviours.setdefault(job["tackle"], named(job["tackle"]))
         image = job["tackle"]
         copy = Copy(service, lift, pull, address, image, self._clock, self._nodes, behaviour)
+        copy.first_bad = self.first_bad
         task = asyncio.ensure_future(copy.run())
         task.add_done_callback(_told)
         self.live[lift] = (copy, task)
--- a/standins/services.py
+++ b/standins/services.py
@@ -17,6 +17,7 @@
 
 TRIES = 3  # a consumer asks so many copies before it gives up
 PATIENCE_S = 1.0  # and waits so long for each
+AVOID_S = 5.0  # a copy that did not answer is left alone so long, as clients do
 
 
 @dataclass
@@ -72,6 +73,7 @@
         self.answers: Counter[str] = Counter()  # of requests: "200", "500", "none"
         self.first: Counter[str] = Counter()  # of first tries
         self._turn = itertools.count()
+        self._silent: dict[str, float] = {}  # address -> when it last did not answer
 
     async def follow(self) -> None:
         names = itertools.cycle(sorted(self._nodes))
@@ -98,17 +100,20 @@
     async def request(self) -> str:
         """One request: at up to TRIES copies, until one says 200."""
         word = "none"
+        tried: set[str] = set()
         for nth in range(TRIES):
-            if not self.ready:
+            address = self._next(tried)
+            if address is None:
                 await asyncio.sleep(0.2)
                 continue
-            address = self.ready[next(self._turn) % len(self.ready)]
+            tried.add(address)
             client = Client(address, self._clock)
             try:
                 status, _ = await client.request("GET", "/work", None, PATIENCE_S)
                 word = str(status)
             except NoAnswer:
                 word = "none"
+                self._silent[address] = self._clock.now()
             client.close()
             if nth == 0:
                 self.first[word] += 1
@@ -117,6 +122,14 @@
         self.answers[word] += 1
         return word
 
+    def _next(self, tried: set[str]) -> str | None:
+        """The next in turn that was not tried, and did not just keep silent, if there is one."""
+        now = self._clock.now()
+        left = [x for x in self.ready if x not in tried]
+        good = [x for x in left if now - self._silent.get(x, -1e9) > AVOID_S]
+        choice = good or left
+        return choice[next(self._turn) % len(choice)] if choice else None
+
     async def steadily(self, every_s: float) -> None:
         sent: set[asyncio.Task[str]] = set()
         while True:
