--- a/pulleydeal/recurring/schedule.py
+++ b/pulleydeal/recurring/schedule.py
@@ -2,9 +2,9 @@
 
 cronsim follows Debian's cron, also in the nights when clocks change: a line with a fixed time that
 falls into the missing hour fires right after it, one in the repeated hour fires once; lines whose
-minute or hour is a wildcard follow the clock. croniter 7.0 was compared on the same table of hard
-expressions (tests/test_cron_schedule.py): it fires fixed times of the repeated hour twice, and
-takes seconds and years that crontab(5) does not know.
+minute or hour is a wildcard follow the clock. croniter was compared by hand on the table of hard
+expressions in tests/test_cron.py (docs/notes/cron.md): it fires fixed times of the repeated hour
+twice, and takes seconds and years that crontab(5) does not know.
 """
 
 import importlib.metadata
--- a/pulleydeal/recurring/service.py
+++ b/pulleydeal/recurring/service.py
@@ -3,9 +3,10 @@
 import asyncio
 import contextlib
 import logging
-from collections import deque
 from typing import TYPE_CHECKING
 
+from prometheus_client import Histogram
+
 from pulleydeal.features.records import Records
 from pulleydeal.features.switch import Handler, Step
 from pulleydeal.operators.routes import Route
@@ -45,7 +46,12 @@
         self.loaded: dict[str, Loaded] = {}
         self.broken: dict[str, str] = {}  # table -> why it can't be led
         self.fired = 0
-        self.lateness: deque[float] = deque(maxlen=kc.KEPT_LATENESS)  # seconds, of the last
+        self._lateness = Histogram(
+            "pulleydeal_recurring_lateness_seconds",
+            "From a line's instant to its job's acceptance",
+            buckets=kc.LATENESS_S,
+            registry=app.metrics.registry,
+        )
         self._sweep_at: dict[str, float] = {}
         self._wall = SteadyWall()
         self.interface = Interface(self)
@@ -208,7 +214,7 @@
         for line, found in begun:
             late = max(0.0, self.clock.wall() - found.instant)
             self.fired += 1
-            self.lateness.append(late)
+            self._lateness.observe(late)
             log.info(
                 "table %s line %d fires for %d, %.1f s late: job %s",
                 name,
