--- a/standins/cron_engine.py
+++ b/standins/cron_engine.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from pulleydeal.metrics import Metrics
 from pulleydeal.recurring import state as st
 from pulleydeal.recurring.service import Recurring
 from pulleydeal.settings import Team
@@ -89,6 +90,7 @@
         self.serves: dict[str, int] = {}
         self.teams = {"core": Team("core")}
         self.zones = ["east"]
+        self.metrics = Metrics()
         me: Any = self
         self.clock = self.store = self.membership = self.client = me
         self.events: list[m.Event] = sorted(world.kept.values(), key=lambda e: e.version)
