--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -8,8 +8,9 @@
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.credits.service import Credits
+from pulleydeal.features.ground import Ground, Service
 from pulleydeal.features.settings import Features
-from pulleydeal.features.switch import switched_on
+from pulleydeal.features.switch import keeping, switched_on
 from pulleydeal.fleet.cloud import Cloud
 from pulleydeal.fleet.service import Fleet
 from pulleydeal.http import Request, Response, Server, answer
@@ -24,7 +25,9 @@
 from pulleydeal.store.replica import Replica
 from pulleydeal.store.service import Store, forever
 from pulleydeal.submissions.service import Submissions
+from pulleydeal.workers.going import Going
 from pulleydeal.workers.service import Workers
+from pulleydeal.workers.station import Station
 
 log = logging.getLogger("pulleydeal")
 
@@ -38,7 +41,7 @@
         policy: Policy | None = None,
         features: Features | None = None,
     ) -> None:
-        policy = policy or Policy()
+        policy, features = policy or Policy(), features or Features()
         deployment = settings.deployment
         nodes = 1 + len(settings.siblings)
         limits = deployment.state
@@ -49,16 +52,30 @@
         self.store = Store(self.client, self.replica, clock, rng, tightest(limits))
         self.siblings = Siblings(settings, clock)
         self.membership = Membership(settings, self.store, self.siblings, clock, rng)
-        self.workers = Workers(self.membership, self.store, deployment.workers, clock, self.metrics)
-        self.teams = teams = settings.teams
-        self.zones = zones = deployment.zones
-        self.deployment = deployment
-        self.clock = clock
+        teams, zones = settings.teams, deployment.zones
+        stations: dict[str, Station] = {}
+        ground = Ground(
+            self.membership, self.siblings, self.store, clock, self.metrics, deployment, stations
+        )
+        kept, found = keeping(features, ground)
+        self.workers = Workers(
+            self.membership, self.store, deployment.workers, clock, self.metrics, stations, kept
+        )
+        self.going = Going(
+            self.membership,
+            self.store,
+            deployment.workers,
+            clock,
+            stations,
+            self.workers.orders,
+            kept,
+        )
         self.credits = Credits(
             self.membership,
             self.siblings,
             self.replica,
             self.workers,
+            self.going,
             teams,
             deployment.objectives,
             clock,
@@ -86,7 +103,8 @@
             clock,
             limits,
             policy,
-            self.workers.unseen_zones,
+            self.going.unseen_zones,
+            kept,
         )
         self.submissions = Submissions(
             self.membership,
@@ -96,11 +114,26 @@
             clock,
             self.metrics,
             self.placement.reason,
+            kept,
         )
         sockets = int(deployment.machine_limits.max_sockets * c.SOCKET_SHARE_SERVER)
         self.server = Server(self.handle, sockets, crowd="/submissions")
 
-        self.features = switched_on(features or Features(), self)
+        service = Service(
+            self.membership,
+            self.siblings,
+            self.store,
+            clock,
+            self.metrics,
+            deployment,
+            stations,
+            teams,
+            zones,
+            kept,
+            lambda: self.submissions.ready,
+            self.placement.reason,
+        )
+        self.features = switched_on(features, service, found)
         self._paths = {part: h for feature in self.features for part, h in feature.paths().items()}
 
     async def handle(self, request: Request) -> Response:
@@ -146,7 +179,7 @@
             "view": self.membership.tend,
             "beat": self.membership.beat,
             "workers": self.workers.work,
-            "machines": self.workers.tend,
+            "machines": self.going.tend,
             "credits": self.credits.work,
             "placement": self.placement.work,
             "catalogue": self.fleet.catalog,
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -37,6 +37,7 @@
 from pulleydeal.store import records as r
 from pulleydeal.store.reasons import made_room
 from pulleydeal.store.replica import Replica
+from pulleydeal.workers.going import Going
 from pulleydeal.workers.service import Workers
 from pulleydeal.workers.station import Station
 
@@ -61,6 +62,7 @@
         siblings: Siblings,
         replica: Replica,
         workers: Workers,
+        going: Going,
         teams: dict[str, Team],
         objectives: list[Objective],
         clock: Clock,
@@ -71,6 +73,7 @@
         self._siblings = siblings
         self._replica = replica
         self._workers = workers
+        self._going = going
         self._teams = teams
         self._clock = clock
         self._metrics = metrics
@@ -289,7 +292,7 @@
                 self._published_at = now
                 self._publish()
         for victim, why in stops:
-            self._workers.stop(victim.job, victim.index, victim.attempt, why)
+            self._going.stop(victim.job, victim.index, victim.attempt, why)
         await asyncio.sleep(c.ROUND_SPACING_S)  # let changes of one moment share a round
 
     def _serve_all(self, changed: list[Credit], now: float) -> list[tuple[Victim, str]]:
--- a/pulleydeal/operators/routes.py
+++ b/pulleydeal/features/routes.py
@@ -6,8 +6,8 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+from pulleydeal.features import constants as fc
 from pulleydeal.http import Response, answer
-from pulleydeal.operators import constants as oc
 
 
 class Problem(Exception):
@@ -103,7 +103,7 @@
 
 def page(asked: Asked, names: Iterable[str], shown: Callable[[str], Any]) -> dict[str, Any]:
     """Items in the order of their names, after `after`; `next` is what to ask with for more."""
-    limit = asked.count("limit", oc.PAGE, oc.PAGE_MOST)
+    limit = asked.count("limit", fc.PAGE, fc.PAGE_MOST)
     after = asked.query.get("after", "")
     found = heapq.nsmallest(limit + 1, (name for name in names if name > after))
     more = len(found) > limit
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -126,7 +126,34 @@
     )
 
 
-def spaces(replica: Replica, wall: float, unseen: set[str] | None = None) -> list[Space]:
+class Rooms:
+    """What is free on each machine, worked out anew where its bindings changed."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._known: dict[str, Room] = {}
+        replica.listen(self._on_change)
+
+    def _on_change(self, kind: str, name: str) -> None:
+        if kind in ("bound", "machine"):
+            self._known.pop(name, None)
+        elif kind in ("view", "catalog"):  # also after everything was read anew
+            self._known.clear()
+
+    def of(self, machine: str, type_: r.MachineType) -> Room:
+        known = self._known.get(machine)
+        if known is None:
+            known = self._known[machine] = Room(type_.cpus, type_.gpus, type_.memory)
+            for job_id, _ in self._replica.bound.get(machine, {}):
+                spec = self._replica.jobs[job_id].spec
+                if spec is not None:
+                    known.take(Need(spec.cpus, spec.gpus, spec.memory))
+        return Room(known.cpus, known.gpus, known.memory)
+
+
+def spaces(
+    replica: Replica, wall: float, rooms: Rooms, unseen: set[str] | None = None
+) -> list[Space]:
     """Room there is; not in zones that are cut off, where nothing can be started."""
     found = []
     for machine in replica.machines.values():
@@ -136,12 +163,7 @@
             continue
         if rec.state == "boot" and wall - rec.at > c.BOOT_LATE_FACTOR * type_.boot_s:
             continue  # late: plan as if it never came
-        room = Room(type_.cpus, type_.gpus, type_.memory)
-        for job_id, _ in replica.bound.get(machine.id, {}):
-            spec = replica.jobs[job_id].spec
-            if spec is not None:
-                room.take(Need(spec.cpus, spec.gpus, spec.memory))
-        found.append(Space((rec.type, rec.zone, rec.spot), room, machine.id))
+        found.append(Space((rec.type, rec.zone, rec.spot), rooms.of(machine.id, type_), machine.id))
     # Spot first, as tasks that may use it are placed there; fullest first, so that what is free
     # at the end is whole machines.
     found.sort(key=lambda s: (not s.kind[2], s.room.gpus, s.room.cpus))
@@ -156,8 +178,11 @@
         spec = job.spec
         if spec is None or spec.team not in demand.teams:
             continue
+        waiting = spec.tasks - job.done - job.bound
+        if waiting <= 0:
+            continue
         used = rules.zones_used([t.machine for _, t in job.bindings()], demand.zone_of)
-        for _ in range(min(left, spec.tasks - job.done - job.bound)):
+        for _ in range(min(left, waiting)):
             left -= 1
             after = rules.add(demand.usage.get(spec.team, (0.0, 0.0)), (spec.cpus, spec.gpus))
             if not rules.within_limit(demand.teams[spec.team], after):
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -18,11 +18,12 @@
 from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Machine
 from pulleydeal.store.service import Store
+from pulleydeal.workers.keeping import OUT_OF_SIGHT, Keeping
 
 log = logging.getLogger("pulleydeal.fleet")
 
 # Given back with all that is on them: the answer itself proves that it is gone.
-AT_ONCE = ("silent", "sick", "failed", "never came up")
+AT_ONCE = ("silent", "sick", "failed", "never came up", *OUT_OF_SIGHT)
 
 
 class Fleet:
@@ -38,12 +39,15 @@
         limits: StateLimits,
         policy: Policy,
         unseen: Callable[[], set[str]],
+        keeping: Keeping,
     ) -> None:
         self._unseen = unseen
+        self._keeping = keeping
         self._policy = policy
         self._membership = membership
         self._store = store
         self._replica = store.replica
+        self._rooms = plan.Rooms(store.replica)
         self._cloud = cloud
         self._teams = teams
         self._zones = zones
@@ -138,7 +142,7 @@
         unseen = self._unseen()
         return plan.Demand(
             jobs,
-            plan.spaces(self._replica, self._clock.wall(), unseen),
+            plan.spaces(self._replica, self._clock.wall(), self._rooms, unseen),
             dict(self._replica.usage()),
             self._replica.zone_of,
             self._replica.types,
@@ -241,13 +245,13 @@
             return False
         return True
 
-    async def _mark(self, machines: list[Machine], why: str) -> None:
+    async def _mark(self, machines: list[Machine], why: str, turn: Turn = Turn.LATER) -> None:
         wall = self._clock.wall()
 
         def drain(old: r.MachineRecord) -> r.MachineRecord:
             return msgspec.structs.replace(old, state="drain", why=why, at=wall)
 
-        for machine in await self._rewrite(machines, drain, turn=Turn.LATER):
+        for machine in await self._rewrite(machines, drain, turn):
             log.info("machine %s is to go: %s", machine.id, why, extra={"machine": machine.id})
 
     # --- returning ------------------------------------------------------------------------
@@ -256,6 +260,7 @@
         await asyncio.sleep(c.FLEET_TICK_S)
         if not self._membership.leads_fleet():
             return
+        await self._mark_owed()
         await self._mark_unneeded()
         ready = [m for m in self._replica.machines.values() if self._returnable(m)]
         for start in range(0, len(ready), c.RETURN_BATCH):
@@ -264,6 +269,16 @@
                 await self._record_gone([machine.id for machine in batch])
         await self._purge()
 
+    async def _mark_owed(self) -> None:
+        """Machines out of sight, whose return is the only proof that their tasks are gone."""
+        found: dict[str, list[Machine]] = {}
+        for name, why in self._keeping.owed().items():
+            machine = self._replica.machines.get(name)
+            if machine is not None and machine.record.state == "up":
+                found.setdefault(why, []).append(machine)
+        for why, machines in found.items():
+            await self._mark(machines, why, Turn.WORK)
+
     def _returnable(self, machine: Machine) -> bool:
         if machine.record.state != "drain":
             return False
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -31,6 +31,9 @@
     ) -> None:
         self.me = settings.node_name
         self._settings = settings
+        self._limited = {
+            name for name, t in settings.teams.items() if t.cpus_max > 0 or t.gpus_max > 0
+        }
         self._store = store
         self._replica: Replica = store.replica
         self._siblings = siblings
@@ -83,8 +86,7 @@
 
     def leads_job(self, spec: r.JobSpec) -> bool:
         """A limited team's jobs have one leader, which so holds the team's whole allowance."""
-        team = self._settings.teams.get(spec.team)
-        limited = team is not None and (team.cpus_max > 0 or team.gpus_max > 0)
+        limited = spec.team in self._limited
         return self.leads(f"team {spec.team}" if limited else f"job {spec.id}")
 
     def leads_fleet(self) -> bool:
@@ -230,6 +232,22 @@
                 "epoch %d: cut pairs now %s", self.epoch, self.view.cut, extra={"epoch": self.epoch}
             )
 
+    async def say_deaf(self, zones: set[str]) -> bool:
+        """Makes durable to which zones this node is deaf; true: the view says so."""
+        changed = decide.with_deaf(self.view, self.me, zones)
+        if changed is None or not self.is_member:
+            return changed is None
+        ok = await self._store.commit({r.VIEW: self._replica.view_version}, {r.VIEW: changed})
+        if ok:
+            log.info(
+                "epoch %d: %s is deaf to %s",
+                self.epoch,
+                self.me,
+                sorted(zones) or "no zone any more",
+                extra={"epoch": self.epoch},
+            )
+        return ok
+
     async def beat(self) -> None:
         written = self._store.client.written
         self._writes = 0.5 * self._writes + 0.5 * (written - self._written) / c.BEAT_S
--- a/pulleydeal/membership/view.py
+++ b/pulleydeal/membership/view.py
@@ -20,9 +20,13 @@
 
 
 def owner(view: View, machine: str, zone: str) -> str:
-    """The member that owns a machine: the heaviest of those that can reach its zone."""
+    """The member that owns a machine: the heaviest of those that can reach its zone.
+
+    A deaf one only where no other is left: it may hear them again, a cut one won't.
+    """
     reaching = [m for m in view.members if (m, zone) not in view.cut]
-    return pick(reaching or list(view.members), machine)
+    hearing = [m for m in reaching if (m, zone) not in view.deaf]
+    return pick(hearing or reaching or list(view.members), machine)
 
 
 def token(epoch: int, fence: int) -> int:
@@ -32,12 +36,21 @@
 def joined(view: View, member: str, incarnation: str) -> View:
     members = {**view.members, member: incarnation}
     cut = [pair for pair in view.cut if pair[0] != member]
-    return View(view.epoch + 1, members, cut)
+    return View(view.epoch + 1, members, cut, [pair for pair in view.deaf if pair[0] != member])
 
 
 def without(view: View, gone: list[str]) -> View:
     members = {m: i for m, i in view.members.items() if m not in gone}
-    return View(view.epoch + 1, members, [pair for pair in view.cut if pair[0] in members])
+    cut, deaf = ([p for p in pairs if p[0] in members] for pairs in (view.cut, view.deaf))
+    return View(view.epoch + 1, members, cut, deaf)
+
+
+def with_deaf(view: View, member: str, zones: set[str]) -> View | None:
+    """The view in which `member` is deaf to just these zones, or None when it is that already."""
+    deaf = {p for p in view.deaf if p[0] != member} | {(member, zone) for zone in zones}
+    if deaf == set(view.deaf):
+        return None
+    return msgspec.structs.replace(view, epoch=view.epoch + 1, deaf=sorted(deaf))
 
 
 def dead(view: View, alive: dict[str, str]) -> list[str]:
--- a/pulleydeal/operators/service.py
+++ b/pulleydeal/operators/service.py
@@ -4,32 +4,32 @@
 import logging
 import secrets
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from pulleydeal import __version__, logs
+from pulleydeal.features import constants as fc
+from pulleydeal.features.ground import Handler, Service, Step
+from pulleydeal.features.routes import Asked, Problem, Route, Table, page
 from pulleydeal.features.settings import Features
-from pulleydeal.features.switch import Handler, Step
 from pulleydeal.http import Request, Response, Server, answer
 from pulleydeal.operators import constants as oc
-from pulleydeal.operators.routes import Asked, Problem, Route, Table, page
 from pulleydeal.store.job import Job
 from pulleydeal.store.reasons import shown
 from pulleydeal.submissions.messages import described
 
-if TYPE_CHECKING:
-    from pulleydeal.app import App
-
 log = logging.getLogger("pulleydeal.operators")
 STATES = ("open", "done", "cancelled", "all")
 
 
 class Operators:
-    def __init__(self, features: Features, app: "App", routes: Callable[[], list[Route]]) -> None:
+    def __init__(
+        self, features: Features, node: Service, routes: Callable[[], list[Route]]
+    ) -> None:
         assert features.operators is not None
         self._listen = features.operators.listen
         self._on = features.on()
-        self._app = app
-        self._replica = app.replica
+        self._service = node
+        self._replica = node.replica
         self._all_routes = routes
         self._table = Table()
         self._start_id = secrets.token_hex(3)
@@ -87,11 +87,11 @@
             raise Problem(503, "not_ready", "the state is still being read", 1)
 
     async def _node(self, asked: Asked) -> Any:
-        membership = self._app.membership
+        membership = self._service.membership
         return {
             "node": membership.me,
             "version": __version__,
-            "ready": self._app.submissions.ready,
+            "ready": self._service.ready(),
             "epoch": membership.epoch,
             "members": sorted(membership.view.members),
             "cut": membership.view.cut,
@@ -118,7 +118,7 @@
             raise Problem(404, "no_such_job", f"no job {asked.params['job']!r} is known here")
         tasks = [
             {"task": index, "machine": task.machine, "attempt": task.attempt}
-            for index, task in sorted(job.bindings())[: oc.PAGE_MOST]
+            for index, task in sorted(job.bindings())[: fc.PAGE_MOST]
         ]
         last = {"last_stop": shown(job.last_stop)} if job.last_stop else {}
         return _summary(job) | {"bound": tasks} | last
@@ -159,7 +159,7 @@
                     "guaranteed": {"cpus": team.cpus, "gpus": team.gpus},
                     "most": {"cpus": team.cpus_max, "gpus": team.gpus_max},
                 }
-                for team in self._app.teams.values()
+                for team in self._service.teams.values()
             ]
         }
 
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -66,6 +66,11 @@
         self._gone: set[str] = set()  # machines given back, perhaps with bindings left
         self._inside: set[str] = set()  # jobs within their team's guarantee
         self._inside_at = -1  # the replica's count of open jobs' changes for which that holds
+        # Open jobs, and those led here, for the view and the count of changes for which they hold:
+        # asking for each job at each round took a sixth of a node's time (docs/results.md).
+        self._jobs: list[Job] = []
+        self._mine: list[Job] = []
+        self._mine_at: tuple[int, int, bool] | None = None
         self._tidied_at = -1e9
         self._wake = asyncio.Event()
         siblings.on(HOLD, self._on_hold)
@@ -99,8 +104,7 @@
         await asyncio.sleep(c.ROUND_SPACING_S)  # let changes of one moment share a round
 
     def _round(self, now: float) -> None:
-        jobs = [self._replica.jobs[job] for job in self._replica.open_jobs]
-        mine = [j for j in jobs if j.spec is not None and self._membership.leads_job(j.spec)]
+        jobs, mine = self._led()
         self._release_gone()
         for job in mine:
             if job.is_open and job.spec is not None and job.done >= job.spec.tasks:
@@ -138,6 +142,16 @@
         for reason in ("team limit", "credit", "back-off"):
             self._metrics.waiting.labels(reason).set(waiting[reason])
 
+    def _led(self) -> tuple[list[Job], list[Job]]:
+        """All open jobs, and those that are led here."""
+        membership = self._membership
+        at = (self._replica.open_changes, membership.epoch, membership.is_member)
+        if at != self._mine_at:
+            self._jobs = [self._replica.jobs[job] for job in self._replica.open_jobs]
+            self._mine = [j for j in self._jobs if j.spec and membership.leads_job(j.spec)]
+            self._mine_at = at
+        return self._jobs, self._mine
+
     def _usage(self) -> dict[str, rules.Amount]:
         """What is bound, being bound, or has asked for credit."""
         usage = dict(self._replica.usage())
--- a/pulleydeal/recurring/imports.py
+++ b/pulleydeal/recurring/imports.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from pulleydeal.operators.routes import Problem
+from pulleydeal.features.routes import Problem
 from pulleydeal.recurring import constants as kc
 from pulleydeal.recurring import crontab, mapping, tables
 from pulleydeal.recurring import state as st
@@ -99,8 +99,8 @@
         return Plan(version, text, raw_mapping, len(ids), new, len(old - set(ids)))
 
     async def _faults(self, rules: mapping.Mapping, entries: list[Entry]) -> list[Fault]:
-        app = self._all.app
-        if not app.replica.types:
+        node = self._all.node
+        if not node.replica.types:
             raise Problem(503, "not_ready", "the machine types are not known yet", 1)
         now = int(self._all.clock.wall())
         faults: list[Fault] = []
@@ -116,7 +116,7 @@
             key = (spec.team, spec.kind, spec.tasks, spec.cpus, spec.gpus, spec.memory, spec.zone)
             whole = (*key, tuple(spec.types or ()))
             if whole not in told:
-                told[whole] = refusal(spec, app.teams, app.replica.types, app.zones)
+                told[whole] = refusal(spec, node.teams, node.replica.types, node.zones)
             if told[whole]:
                 faults.append(Fault(entry.number, 1, told[whole]))
         return faults
--- a/pulleydeal/recurring/interface.py
+++ b/pulleydeal/recurring/interface.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from pulleydeal.operators.routes import Asked, Problem, Route, page
+from pulleydeal.features.routes import Asked, Problem, Route, page
 from pulleydeal.recurring import constants as kc
 from pulleydeal.recurring import decide, tables
 from pulleydeal.recurring import state as st
--- a/pulleydeal/recurring/service.py
+++ b/pulleydeal/recurring/service.py
@@ -3,13 +3,12 @@
 import asyncio
 import contextlib
 import logging
-from typing import TYPE_CHECKING
 
 from prometheus_client import Histogram
 
+from pulleydeal.features.ground import Handler, Service, Step
 from pulleydeal.features.records import Records
-from pulleydeal.features.switch import Handler, Step
-from pulleydeal.operators.routes import Route
+from pulleydeal.features.routes import Route
 from pulleydeal.recurring import constants as kc
 from pulleydeal.recurring import decide, schedule, tables
 from pulleydeal.recurring import state as st
@@ -21,9 +20,6 @@
 from pulleydeal.store.rate import Turn
 from pulleydeal.submissions.service import refusal
 
-if TYPE_CHECKING:
-    from pulleydeal.app import App
-
 log = logging.getLogger("pulleydeal.recurring")
 FIELD = {"feature": "recurring"}
 
@@ -36,13 +32,13 @@
 
 
 class Recurring:
-    def __init__(self, app: "App") -> None:
+    def __init__(self, node: Service) -> None:
         from pulleydeal.recurring.interface import Interface
 
-        self.app = app
-        self.clock = app.clock
-        self.replica = app.replica
-        self.records = Records("recurring", shown_format(), app.membership, app.store)
+        self.node = node
+        self.clock = node.clock
+        self.replica = node.replica
+        self.records = Records("recurring", shown_format(), node.membership, node.store)
         self.loaded: dict[str, Loaded] = {}
         self.broken: dict[str, str] = {}  # table -> why it can't be led
         self.fired = 0
@@ -50,7 +46,7 @@
             "pulleydeal_recurring_lateness_seconds",
             "From a line's instant to its job's acceptance",
             buckets=kc.LATENESS_S,
-            registry=app.metrics.registry,
+            registry=node.metrics.registry,
         )
         self._sweep_at: dict[str, float] = {}
         self._wall = SteadyWall()
@@ -66,10 +62,10 @@
         return {}
 
     async def start(self) -> None:
-        if self.app.store.limits.ops <= kc.BATCH_CHANGES:
+        if self.node.store.limits.ops <= kc.BATCH_CHANGES:
             raise OSError(
                 f"recurring jobs need transactions of {kc.BATCH_CHANGES + 1} changes, and the state"
-                f" service takes {self.app.store.limits.ops}: switch them off"
+                f" service takes {self.node.store.limits.ops}: switch them off"
             )
 
     def names(self) -> list[str]:
@@ -232,7 +228,7 @@
             job = self.replica.jobs.get(st.job_id(name, one.line.id, mark.job_at))
             previous_open = job is not None and not job.is_over
         spec = one.line.job.spec("j-0")
-        why = refusal(spec, self.app.teams, self.replica.types, self.app.zones)
+        why = refusal(spec, self.node.teams, self.replica.types, self.node.zones)
         return decide.outcome(one.line, mark, one.instant, now, previous_open, why)
 
     def _begin(
@@ -254,5 +250,5 @@
         old = self.replica.jobs.get(st.job_id(name, line.id, mark.job_at))
         if old is not None and old.record is not None and old.record.status == "open":
             key = r.job_key(old.id)
-            also[key] = r.JobRecord("cancelled", old.record.tasks, old.record.at, old.spec, wall)
+            also[key] = r.cancelled(old.record, old.spec, wall, self.node.keeping.holds_back())
             also_read[key] = old.version
--- a/pulleydeal/rollouts/interface.py
+++ b/pulleydeal/rollouts/interface.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from pulleydeal.features.switch import Handler
+from pulleydeal.features.ground import Handler
+from pulleydeal.features.routes import Asked, Problem, Route, page
 from pulleydeal.http import MALFORMED, Request, Response, answer
-from pulleydeal.operators.routes import Asked, Problem, Route, page
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts import registry
 from pulleydeal.rollouts import state as st
@@ -67,7 +67,7 @@
         if not self._all.records.ready:
             without = [
                 node
-                for node in self._all.app.membership.nodes()
+                for node in self._all.node.membership.nodes()
                 if not self._all.replica.shown.get(node, {}).get("rollouts")
             ]
             why = f" ({', '.join(without)} has not)" if without else ""
@@ -75,18 +75,18 @@
             raise Problem(503, "not_everywhere", text, rc.RETRY_S)
 
     def _described(self, asked: Asked) -> Description:
-        app = self._all.app
+        node = self._all.node
         try:
             found = parse(asked.body.decode())
         except UnicodeDecodeError as error:
             raise Problem(400, "bad_description", f"not UTF-8: {error}") from error
         except DescriptionError as error:
             raise Problem(400, "bad_description", "\n".join(error.faults)) from error
-        if not app.replica.types:
+        if not node.replica.types:
             raise Problem(503, "not_ready", "the machine types are not known yet", rc.RETRY_S)
-        faults = fits(found, app.teams, app.replica.types, app.zones)
+        faults = fits(found, node.teams, node.replica.types, node.zones)
         size = self._largest(found)
-        most = app.store.limits.value_b
+        most = node.store.limits.value_b
         if size > most:
             faults.append(f"copies: the records would take {size} B, of {most} B at most")
         if faults:
@@ -95,7 +95,7 @@
 
     def _largest(self, d: Description) -> int:
         """The most that a value of this service will ever take."""
-        zone = max([*self._all.app.zones, ""], key=len)
+        zone = max([*self._all.node.zones, ""], key=len)
         slot = st.Slot(10**6, 10**4, zone, 1e10 + 0.1, 1e10 + 0.1)
         slots = [slot] * (d.copies + d.surge)
         rollout = st.Rollout(10**5, 10**4, "returning", 9, 1e10 + 0.1, 1e10 + 0.1, True)
@@ -369,4 +369,4 @@
         return answer(200, self._endpoints(name))
 
     def _age_s(self) -> float:
-        return self._all.clock.now() - self._all.app.store.known_at
+        return self._all.clock.now() - self._all.node.store.known_at
--- a/pulleydeal/rollouts/service.py
+++ b/pulleydeal/rollouts/service.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING, TypeVar
+from typing import TypeVar
 
 from pulleydeal.background import Background
+from pulleydeal.features.ground import Handler, Service, Step
 from pulleydeal.features.records import Records
-from pulleydeal.features.switch import Handler, Step
-from pulleydeal.operators.routes import Route
+from pulleydeal.features.routes import Route
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts import health, seeing
 from pulleydeal.rollouts import state as st
@@ -21,24 +21,21 @@
 from pulleydeal.store.limits import TooLarge
 from pulleydeal.store.rate import Turn
 
-if TYPE_CHECKING:
-    from pulleydeal.app import App
-
 log = logging.getLogger("pulleydeal.rollouts")
 T = TypeVar("T")
 CHANGES = rc.AT_ONCE + 4  # in one transaction at most: jobs, service, endpoints, entry, old entry
 
 
 class Rollouts:
-    def __init__(self, app: "App") -> None:
+    def __init__(self, node: Service) -> None:
         from pulleydeal.rollouts.interface import Interface
 
-        self.app = app
-        self.clock = app.clock
-        self.replica = app.replica
-        self.records = Records("rollouts", rc.FORMAT, app.membership, app.store)
+        self.node = node
+        self.clock = node.clock
+        self.replica = node.replica
+        self.records = Records("rollouts", rc.FORMAT, node.membership, node.store)
         self.watches: dict[str, Watch] = {}
-        self.prober = Prober(app.clock)
+        self.prober = Prober(node.clock)
         self.writes = 0  # transactions of decisions
         self._background = Background("a round of checks failed")
         self._decoded: dict[str, tuple[int, object]] = {}
@@ -55,10 +52,10 @@
         return self.interface.paths()
 
     async def start(self) -> None:
-        if self.app.store.limits.ops < CHANGES:
+        if self.node.store.limits.ops < CHANGES:
             raise OSError(
                 f"roll-outs need transactions of {CHANGES} changes, and the state service takes"
-                f" {self.app.store.limits.ops}: switch them off"
+                f" {self.node.store.limits.ops}: switch them off"
             )
 
     # --- records ------------------------------------------------------------------------------
@@ -145,9 +142,9 @@
 
     def see(self, name: str, service: st.Service, watch: Watch, d: Description) -> World:
         jobs = [st.job_id(name, slot.serial) for slot in service.slots]
-        reasons = {job: self.app.placement.reason(job) for job in jobs}
+        reasons = {job: self.node.reason(job) for job in jobs}
         now, wall = self.clock.now(), self.clock.wall()
-        before, zones = self.endpoints(name).ready, self.app.zones
+        before, zones = self.endpoints(name).ready, self.node.zones
         return seeing.see(
             name, service, d.check, self.replica, watch, reasons, before, zones, now, wall
         )
@@ -246,5 +243,5 @@
         if job is None or job.record is None or job.record.status != "open":
             return
         key = r.job_key(job.id)
-        also[key] = r.JobRecord("cancelled", 1, job.record.at, job.spec, wall)
+        also[key] = r.cancelled(job.record, job.spec, wall, self.node.keeping.holds_back())
         also_read[key] = job.version
--- a/pulleydeal/store/draft.py
+++ b/pulleydeal/store/draft.py
@@ -18,6 +18,7 @@
         self.spec = job.record.spec
         # Cancelled with a job that it needs: whatever is written next makes its record say so.
         self.status: r.Status = "cancelled" if job.is_cancelled else job.record.status
+        self.untold = job.record.untold
         self.conditions = {
             r.VIEW: replica.view_version,
             r.job_key(job.id): job.version,
@@ -97,7 +98,13 @@
         ended = record.ended
         if self.status != "open" and record.status == "open":
             ended = self._wall
-        over = self.status != "open" and bound == 0
+        # A binding that was written just before a cancellation may not be seen yet: its chunk
+        # would stay behind the slim record for ever, and its machine would never be given back.
+        just_cancelled = self.status == "cancelled" and not self.job.doomed
+        unseen = just_cancelled and (
+            record.status == "open" or self.replica.revision < self.job.version
+        )
+        over = self.status != "open" and bound == 0 and not unseen
         if over and len(self.job.chunks) <= self._most_deletes:
             # Over and all gone: one slim record stays, so that its end is never forgotten.
             self.puts = {}
@@ -109,12 +116,12 @@
             first = sorted(self.job.chunks)[: self._most_deletes]
             self.puts = {}
             self.deletes = [r.chunk_key(self.job.id, k) for k in first]
-        elif self.status != record.status:
+        elif self.status != record.status or self.untold != record.untold:
             self.puts[r.job_key(self.job.id)] = self._ended(record, ended)
 
     def _ended(self, record: r.JobRecord, ended: float) -> r.JobRecord:
         """Over, with tasks not proved gone: their description is still needed to count them."""
-        new = r.JobRecord(self.status, record.tasks, record.at, self.spec, ended)
+        new = r.JobRecord(self.status, record.tasks, record.at, self.spec, ended, self.untold)
         if not self._limits.fits(msgspec.json.encode(new)):
             # Accepted under larger limits: what only a start needs is not needed any more.
             new.spec = msgspec.structs.replace(
--- a/pulleydeal/store/job.py
+++ b/pulleydeal/store/job.py
@@ -55,6 +55,11 @@
         """Done or cancelled, which never changes any more."""
         return self.is_cancelled or self.status == "done"
 
+    @property
+    def untold(self) -> bool:
+        """Cancelled durably, and told to nobody yet: a cut-off node may keep its tasks."""
+        return self.record is not None and self.record.untold
+
     @property
     def is_ready(self) -> bool:
         """Open, and all jobs that it needs are durably done."""
--- a/pulleydeal/store/records.py
+++ b/pulleydeal/store/records.py
@@ -64,6 +64,7 @@
     at: float = 0.0  # wall clock of acceptance
     spec: JobSpec | None = None  # None once the job is over and all its tasks are gone
     ended: float = 0.0  # wall clock of its end; 0: not over, or ended by a version without it
+    untold: bool = False  # cancelled, but told to nobody before that can be kept (zones)
 
 
 class Task(Struct, array_like=True, omit_defaults=True):
@@ -90,6 +91,7 @@
     epoch: int = 0
     members: dict[str, str] = {}  # name -> incarnation
     cut: list[tuple[str, str]] = []  # (member, zone) pairs that can't reach each other
+    deaf: list[tuple[str, str]] = []  # (member, zone): it hears none of the machines there (zones)
 
 
 class MachineRecord(Struct, omit_defaults=True):
@@ -127,6 +129,10 @@
     types: list[MachineType] = []
 
 
+def cancelled(old: JobRecord, spec: JobSpec | None, wall: float, untold: bool) -> JobRecord:
+    return JobRecord("cancelled", old.tasks, old.at, spec, wall, untold)
+
+
 def job_key(job: str) -> str:
     return f"p/j/{job}"
 
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -46,6 +46,7 @@
         # is not kept.
         self._features: dict[str, dict[str, tuple[bytes, int]]] = {}
         self._waiting: list[tuple[int, asyncio.Future[None]]] = []
+        self.open_changes = 0  # moves whenever a job opens or ends, and when all is read anew
         self._clear()
 
     def _clear(self) -> None:
@@ -68,7 +69,7 @@
         self.types: dict[str, r.MachineType] = {}
         self.bound: dict[str, dict[TaskId, r.Task]] = {}
         self.zone_of: dict[str, str] = {}  # machine -> zone
-        self.open_changes = 0  # moves whenever a job opens or ends
+        self.open_changes += 1
         self._pipelines = Pipelines(self.jobs)
         self._led: set[str] = set()  # jobs that another job's change concerns, not yet told
         self._used: dict[str, tuple[float, float]] = {}  # team -> cpus, gpus of all bound
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import re
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 
 import msgspec
 
@@ -25,6 +25,7 @@
 from pulleydeal.store.service import Store
 from pulleydeal.submissions import messages as m
 from pulleydeal.submissions.admission import Admission
+from pulleydeal.workers.keeping import Keeping
 
 log = logging.getLogger("pulleydeal.submissions")
 JOB_ID = re.compile(m.JOB_ID)
@@ -65,6 +66,7 @@
         clock: Clock,
         metrics: Metrics,
         reason: Callable[[str], str],
+        keeping: Keeping,
     ) -> None:
         self._membership = membership
         self._store = store
@@ -75,8 +77,7 @@
         self._metrics = metrics
         self._reason = reason
         self._admission = Admission()
-        # What a feature adds (zones): whether a cancellation of the job can be kept by all.
-        self.kept: Callable[[Job], Awaitable[bool]] | None = None
+        self._keeping = keeping
 
     @property
     def ready(self) -> bool:
@@ -218,7 +219,7 @@
         """The job as it stands: a final state is never old, any other must be proved fresh."""
         if not JOB_ID.match(job_id):
             return None
-        if not _is_final(self._replica.jobs.get(job_id)):
+        if not self._is_final(self._replica.jobs.get(job_id)):
             await self._store.fresh()
         return self._replica.jobs.get(job_id)
 
@@ -227,21 +228,36 @@
         job = await self._find(job_id)
         if job is None or job.record is None:
             return answer(404, {"error": "no such job"})
-        if not await self._tellable(job):
+        if self._held_back(job) and self._keeping.may_tell(job):
+            await self._tell(job)
+        if self._held_back(job) and not self._keeping.says_running():
             return answer(503, {"error": "its cancellation is under way"}, c.RETRY_AFTER_S)
         return answer(200, self._state(job))
 
-    async def _tellable(self, job: Job) -> bool:
-        """A cancellation is told when nobody can keep a task of the job running any more."""
-        if self.kept is None or not job.bound or not job.is_cancelled:
-            return True
-        return await self.kept(job)
+    def _held_back(self, job: Job) -> bool:
+        """Cancelled, and told to nobody, as a node out of reach may still keep one of its tasks.
+
+        No more once all tasks are proved gone in a replica that is as new as the cancellation.
+        """
+        return job.untold and (job.bound > 0 or self._replica.revision < job.version)
+
+    async def _tell(self, job: Job) -> None:
+        """From now on it is told, by every node: durable first, as all that users hear."""
+
+        def told(draft: Draft) -> None:
+            if self._keeping.may_tell(draft.job):
+                draft.untold = False
+
+        await asyncio.shield(self._store.change_job(job.id, told, turn=Turn.FIRST))
+
+    def _is_final(self, job: Job | None) -> bool:
+        return job is not None and job.is_over and not self._held_back(job)
 
     def _state(self, job: Job) -> m.State:
         assert job.record is not None
         if job.record.status == "done":
             return m.State(job.id, "done", job.record.tasks, 0)
-        if job.is_cancelled:
+        if job.is_cancelled and not self._held_back(job):
             return m.State(job.id, "cancelled", job.done, 0)
         state = "running" if job.bound else "queued"
         return m.State(job.id, state, job.done, job.bound, self._note(job))
@@ -249,7 +265,9 @@
     def _note(self, job: Job) -> str:
         assert job.record is not None
         waiting = ""
-        if job.blockers:
+        if job.is_cancelled:
+            waiting = "is cancelled as soon as its machines out of sight can be told, or are gone"
+        elif job.blockers:
             named = sorted(job.blockers)[: c.NAMED_IN_NOTE]
             more = len(job.blockers) - len(named)
             waiting = f"waits for {', '.join(named)}" + (f" and {more} more" if more else "")
@@ -266,17 +284,15 @@
         if job.is_open:
             if (reply := self._no_time()) is not None:
                 return reply
-            await asyncio.shield(self._store.change_job(job_id, _cancel, turn=Turn.FIRST))
+            await asyncio.shield(self._store.change_job(job_id, self._cancel, turn=Turn.FIRST))
             log.info("job %s: cancel asked by its user", job_id, extra={"job": job_id})
-        if not _is_final(job) or not await self._tellable(job):
+        if self._held_back(job) and await self._keeping.comes_to_be_told(job):
+            await self._tell(job)
+        if not self._is_final(job):
             return answer(503, {"error": "try again"}, c.RETRY_AFTER_S)
         return answer(200, m.State(job_id, "cancelled" if job.is_cancelled else "done"))
 
-
-def _cancel(draft: Draft) -> None:
-    if draft.status == "open":
-        draft.status = "cancelled"
-
-
-def _is_final(job: Job | None) -> bool:
-    return job is not None and job.is_over
+    def _cancel(self, draft: Draft) -> None:
+        if draft.status == "open":
+            draft.status = "cancelled"
+            draft.untold = self._keeping.holds_back()
--- /dev/null
+++ b/pulleydeal/workers/going.py
@@ -0,0 +1,119 @@
+"""Machines that should go: silent and sick ones are marked, those with a notice are drained."""
+
+import asyncio
+import logging
+from functools import partial
+
+import msgspec
+
+from pulleydeal import constants as c
+from pulleydeal.clock import Clock
+from pulleydeal.membership.service import Membership
+from pulleydeal.settings import WorkerTimes
+from pulleydeal.store import records as r
+from pulleydeal.store.rate import Turn
+from pulleydeal.store.service import Store
+from pulleydeal.workers.changes import apply_stop
+from pulleydeal.workers.keeping import Keeping
+from pulleydeal.workers.orders import Orders
+from pulleydeal.workers.station import (
+    Station,
+    is_sick,
+    out_of_sight,
+    silent_for_long,
+    silent_s,
+)
+
+log = logging.getLogger("pulleydeal.workers")
+
+
+class Going:
+    def __init__(
+        self,
+        membership: Membership,
+        store: Store,
+        times: WorkerTimes,
+        clock: Clock,
+        stations: dict[str, Station],
+        orders: Orders,
+        keeping: Keeping,
+    ) -> None:
+        self._membership = membership
+        self._store = store
+        self._replica = store.replica
+        self._times = times
+        self._clock = clock
+        self._stations = stations
+        self._orders = orders
+        self._keeping = keeping
+        self._unseen_at: dict[str, float] = {}  # zone -> when it was last out of sight
+
+    def unseen_zones(self) -> set[str]:
+        """Zones that can't be seen from here at present, and those not trusted again yet."""
+        stations, others = list(self._stations.values()), self._keeping.others_see()
+        unseen = out_of_sight(stations, self._clock.now(), self._times.report_s, others)
+        return unseen | self._keeping.distrusted()
+
+    async def tend(self) -> None:
+        """One round: marks silent and sick machines, and drains those with a notice."""
+        await asyncio.sleep(0.5)
+        if not self._membership.is_member:
+            return
+        now = self._clock.now()
+        self._orders.drop_stale()
+        report_s = self._times.report_s
+        stations = list(self._stations.values())
+        silent = {
+            s.id
+            for s in silent_for_long(
+                stations,
+                now,
+                report_s,
+                self._times.lease_s,
+                self._unseen_at,
+                self._keeping.others_see(),
+                self._keeping.watched_over(),
+            )
+        }
+        for station in stations:
+            if self._stations.get(station.id) is not station:
+                continue  # given up while an earlier one was being written
+            if silent_s(station, now) > c.PROBE_REPORTS * report_s:
+                self._orders.probe(station)
+            record = self._replica.machines.get(station.id)
+            if record is None or record.record.state != "up":
+                continue
+            # Asked again: it may have been heard while another's record was written.
+            if station.id in silent and silent_s(station, now) > c.PROBE_REPORTS * report_s:
+                await self.mark(station.id, "silent")
+            elif is_sick(station, now):
+                await self.mark(station.id, "sick")
+            elif station.notice_at is not None:
+                self._drain_for_notice(station, now)
+
+    async def mark(self, machine: str, why: str) -> None:
+        old = self._replica.machines[machine]
+        record = msgspec.structs.replace(old.record, state="drain", why=why, at=self._clock.wall())
+        key = r.machine_key(machine)
+        conditions = {key: old.version, r.VIEW: self._replica.view_version}
+        if await self._store.commit(conditions, {key: record}):
+            log.info("machine %s is to go: %s", machine, why, extra={"machine": machine})
+
+    def _drain_for_notice(self, station: Station, now: float) -> None:
+        assert station.notice_at is not None
+        for (job_id, index), task in self._replica.bound.get(station.id, {}).items():
+            spec = self._replica.jobs[job_id].spec
+            if spec is None or task.stop:
+                continue
+            if spec.checkpoint_s > 0:
+                last = station.notice_at - spec.save_s - c.STOP_SLACK_S
+            else:
+                last = station.notice_at - c.STOP_SLACK_S / 2
+            if now >= last:
+                self.stop(job_id, index, task.attempt, "the cloud takes its spot machine back")
+
+    def stop(self, job_id: str, index: int, attempt: int, why: str) -> None:
+        """Stops a task in good order, and with it its gang; the reason is durable."""
+        self._store.change_job(
+            job_id, partial(apply_stop, index=index, attempt=attempt, why=why), turn=Turn.WORK
+        )
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -5,14 +5,13 @@
 import threading
 from collections.abc import Callable
 from functools import partial
-from typing import Any
 
 import msgspec
 
 from pulleydeal import constants as c
 from pulleydeal.background import Background
 from pulleydeal.clock import Clock
-from pulleydeal.http import MALFORMED, Client, NoAnswer, Request, Response, answer
+from pulleydeal.http import MALFORMED, Request, Response, answer
 from pulleydeal.membership import view as views
 from pulleydeal.membership.service import Membership
 from pulleydeal.metrics import Metrics
@@ -23,24 +22,22 @@
 from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.changes import apply_exit, apply_stop
+from pulleydeal.workers import told
+from pulleydeal.workers.changes import apply_exit
+from pulleydeal.workers.keeping import Keeping
+from pulleydeal.workers.orders import Orders
 from pulleydeal.workers.station import (
     Entry,
     Exit,
     Plan,
-    Seen,
     Sent,
     Start,
     Station,
     TaskId,
     Wanted,
     absorb,
-    is_sick,
     reconcile,
-    seen,
-    silent_for_long,
     silent_s,
-    unseen_zones,
 )
 
 log = logging.getLogger("pulleydeal.workers")
@@ -58,6 +55,8 @@
         times: WorkerTimes,
         clock: Clock,
         metrics: Metrics,
+        stations: dict[str, Station],
+        keeping: Keeping,
     ) -> None:
         self._membership = membership
         self._store = store
@@ -67,12 +66,11 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._epoch = 0  # the last view by which machines were taken and given up
-        self.stations: dict[str, Station] = {}
-        self._clients: dict[str, Client] = {}
+        self.stations = stations
+        self._keeping = keeping
+        self.orders = Orders(clock, self.token, self._answer_of_order)
         self._exits: set[Start] = set()
         self._writing: set[str] = set()
-        self._orders = asyncio.Semaphore(c.ORDERS_IN_FLIGHT)
-        self._probes = asyncio.Semaphore(c.PROBES_IN_FLIGHT)
         self._background = Background("a worker exchange failed")
         self._dirty: set[str] = set()
         self._wake = asyncio.Event()
@@ -82,16 +80,9 @@
         )
         # Machines whose last report names a task of the job: found without asking each one.
         self._reported: dict[str, set[str]] = {}
-        self._unseen_at: dict[str, float] = {}  # zone -> when it was last out of sight
         self._looked_at = -1e9  # when all machines were last looked at
         # Called with a machine whose credit may have changed.
         self.changed: Callable[[str], None] = _nothing
-        # What a feature adds (zones): machines kept for their owner, a longer blindness for some,
-        # and whether nobody else can have renewed a machine's lease.
-        self.keeps: Callable[[m.Report], bool] = lambda _report: False
-        self.bears_blindness: Callable[[str], bool] = lambda _zone: False
-        self.alone: Callable[[Station], bool] = lambda _station: True
-        self.others_see: Callable[[], list[Seen]] = list
         store.replica.listen(self._on_change)
 
     def _on_change(self, kind: str, name: str) -> None:
@@ -143,9 +134,7 @@
         station = self.stations.pop(machine, None)
         if station is not None:
             self._index(machine, station.entries, {})
-            client = self._clients.pop(station.addr, None)
-            if client is not None:
-                client.close()
+            self.orders.drop(station.addr)
             self.changed(machine)
 
     def _station(
@@ -166,20 +155,6 @@
         limit = c.SILENT_REPORTS * self._times.report_s
         return silent_s(station, self._clock.now()) > limit
 
-    def unseen_zones(self) -> set[str]:
-        """Zones that can't be seen from here at present, by this node's own machines.
-
-        None, when it is all of them: that is trouble of our own, and others see them.
-        """
-        stations = list(self.stations.values())
-        now, report_s = self._clock.now(), self._times.report_s
-        unseen = unseen_zones(stations, now, report_s, self.others_see())
-        return unseen if any(s.zone not in unseen for s in stations) else set()
-
-    def seen(self) -> Seen:
-        """How many of this node's own machines are quiet, and known, in each zone."""
-        return seen(list(self.stations.values()), self._clock.now(), self._times.report_s)
-
     def oldest_report_s(self) -> float:
         now = self._clock.now()
         return max((silent_s(station, now) for station in self.stations.values()), default=0.0)
@@ -194,7 +169,7 @@
             return answer(503, {"error": "not ready"}, c.RETRY_AFTER_S)
         owner = self._membership.owner(report.machine, report.zone)
         if owner != self._membership.me:
-            if self.keeps(report):
+            if self._keeping.keeps(report):
                 return answer(200, m.commands(report.token, []))
             return answer(421, m.redirect(owner))
         if not self._may_renew(report.zone):
@@ -223,7 +198,7 @@
         plan = self._plan(station)
         for start in plan.runs:
             station.sent[start] = Sent(station.session, report.seq)
-            self._log_run(station, start, "check-in")
+            self._starts(station, start, "check-in")
         body = m.commands(self.token(station), [] if station.busy else plan.calls)
         return Response(200, msgspec.json.encode(body), written=lambda: self._answered(station))
 
@@ -236,7 +211,7 @@
         return (
             blind_s < self._blind_limit_s
             or self._membership.vouched()
-            or self.bears_blindness(zone)
+            or self._keeping.bears_blindness(zone)
         )
 
     def _take(self, station: Station, report: m.Report, checkin: bool) -> None:
@@ -250,7 +225,7 @@
         if not fresh:
             return
         if before != station.entries:
-            self._log_progress(station, before)
+            told.progress(station, before)
         was = {k for k, e in before.items() if e.state == "exited"}
         if not checkin or was != {k for k, e in station.entries.items() if e.state == "exited"}:
             self._dirty.add(station.id)
@@ -272,19 +247,6 @@
         for job in new - old:
             self._reported.setdefault(job, set()).add(machine)
 
-    def _log_progress(self, station: Station, before: dict[TaskId, Entry]) -> None:
-        for task_id, entry in station.entries.items():
-            old = before.get(task_id)
-            if entry.state != "exited" and (old is None or old.state != entry.state):
-                log.info(
-                    "task %s/%d attempt %d on %s: %s",
-                    *task_id,
-                    entry.attempt,
-                    station.id,
-                    entry.state,
-                    extra={"job": task_id[0], "task": task_id[1], "machine": station.id},
-                )
-
     async def _adopt(self, report: m.Report) -> None:
         """A machine has a durable record before anything is bound to it."""
         if report.machine in self._writing:
@@ -343,7 +305,7 @@
                 self._wanted(station),
                 self._clock.now(),
                 self._times.lease_s,
-                partial(self.alone, station),
+                partial(self._keeping.alone, station),
             )
             if station.busy:
                 plan.calls, plan.runs = [], []
@@ -385,21 +347,9 @@
         if still_owner or not gone.by_lease:
             apply_exit(draft, gone)
 
-    def _log_run(self, station: Station, start: Start, how: str) -> None:
+    def _starts(self, station: Station, start: Start, how: str) -> None:
         self._metrics.starts.inc()
-        log.info(
-            "run %s/%d attempt %d on %s by %s, epoch %d",
-            *start,
-            station.id,
-            how,
-            self._membership.epoch,
-            extra={
-                "job": start[0],
-                "task": start[1],
-                "machine": station.id,
-                "epoch": self._membership.epoch,
-            },
-        )
+        told.run(station, start, how, self._membership.epoch)
 
     # --- direct orders ----------------------------------------------------------------------
     async def work(self) -> None:
@@ -427,7 +377,7 @@
         if not station.trusted:
             # After a takeover: raise the token and get a report, without waiting to be found.
             if station.heard_at is None:
-                self._probe(station)
+                self.orders.probe(station)
             return
         if not station.addr or silent_s(station, self._clock.now()) > self._times.lease_s:
             self._plan(station)
@@ -437,126 +387,11 @@
         if urgent or any(
             sent.fence is not None and not sent.settled for sent in station.sent.values()
         ):
-            station.busy = True
             for start in plan.runs:
                 station.sent[start] = Sent(station.session, 0, direct=True)
-                self._log_run(station, start, "order")
-            self._background.spawn(self._order(station, urgent, plan.runs))
+                self._starts(station, start, "order")
+            self.orders.give(station, urgent, plan.runs)
 
-    async def _order(
-        self, station: Station, calls: list[dict[str, Any]], runs: list[Start]
-    ) -> None:
-        body = m.orders(self.token(station), station.session, calls)
-        client = self._clients.get(station.addr)
-        if client is None:
-            client = self._clients[station.addr] = Client(station.addr, self._clock)
-        # Machines that don't answer are mostly probed: they must not hold up others' orders.
-        gate, patience = self._orders, c.ORDERS_TIMEOUT_S
-        if not calls:
-            gate, patience = self._probes, c.PROBE_TIMEOUT_S
-        try:
-            async with gate:
-                status, reply = await client.request("POST", "/orders", body, patience)
-        except NoAnswer as error:
-            log.debug("order to %s: %s", station.id, error)
-            self._unsettle(station, runs, executed=error.sent)
-            return
-        finally:
-            station.busy = False
-        for start in runs:
-            if status == 200:
-                station.sent[start].direct = False
-                station.sent[start].settled = True
-            else:
-                station.sent.pop(start, None)
-        if status in (200, 409):
-            try:
-                report = m.REPORT.decode(reply)
-            except MALFORMED as error:
-                log.error("machine %s answers nonsense: %s", station.id, error)
-                return
-            if self.stations.get(station.id) is station:
-                self._take(station, report, checkin=False)
-
-    def _unsettle(self, station: Station, runs: list[Start], executed: bool) -> None:
-        """An unanswered order may be executed much later: fence it before concluding."""
-        if not executed:
-            for start in runs:
-                station.sent.pop(start, None)
-            return
-        if runs:
-            station.raise_fence()
-        for start in runs:
-            station.sent[start].fence = self.token(station)
-            station.sent[start].direct = False
-
-    # --- machines that should go --------------------------------------------------------------
-    async def tend(self) -> None:
-        """One round: marks silent and sick machines, and drains those with a notice."""
-        await asyncio.sleep(0.5)
-        if not self._membership.is_member:
-            return
-        now = self._clock.now()
-        for client in self._clients.values():
-            client.drop_stale()
-        report_s = self._times.report_s
-        stations = list(self.stations.values())
-        lease_s = self._times.lease_s
-        silent = {
-            s.id
-            for s in silent_for_long(
-                stations, now, report_s, lease_s, self._unseen_at, self.others_see()
-            )
-        }
-        for station in stations:
-            if self.stations.get(station.id) is not station:
-                continue  # given up while an earlier one was being written
-            if silent_s(station, now) > c.PROBE_REPORTS * report_s:
-                self._probe(station)
-            record = self._replica.machines.get(station.id)
-            if record is None or record.record.state != "up":
-                continue
-            why = ""
-            # Asked again: it may have been heard while another's record was written.
-            if station.id in silent and silent_s(station, now) > c.PROBE_REPORTS * report_s:
-                why = "silent"
-            elif is_sick(station, now):
-                why = "sick"
-            elif station.notice_at is not None:
-                why = "notice"
-                self._drain_for_notice(station, now)
-            if why and why != "notice":
-                await self.mark(station.id, why)
-
-    def _probe(self, station: Station) -> None:
-        """Asks a machine whose reports stay out: silence alone may be a lost packet's."""
-        if station.addr and not station.busy:
-            station.busy = True
-            self._background.spawn(self._order(station, [], []))
-
-    async def mark(self, machine: str, why: str) -> None:
-        old = self._replica.machines[machine]
-        record = msgspec.structs.replace(old.record, state="drain", why=why, at=self._clock.wall())
-        key = r.machine_key(machine)
-        conditions = {key: old.version, r.VIEW: self._replica.view_version}
-        if await self._store.commit(conditions, {key: record}):
-            log.info("machine %s is to go: %s", machine, why, extra={"machine": machine})
-
-    def _drain_for_notice(self, station: Station, now: float) -> None:
-        assert station.notice_at is not None
-        for (job_id, index), task in self._replica.bound.get(station.id, {}).items():
-            spec = self._replica.jobs[job_id].spec
-            if spec is None or task.stop:
-                continue
-            if spec.checkpoint_s > 0:
-                last = station.notice_at - spec.save_s - c.STOP_SLACK_S
-            else:
-                last = station.notice_at - c.STOP_SLACK_S / 2
-            if now >= last:
-                self.stop(job_id, index, task.attempt, "the cloud takes its spot machine back")
-
-    def stop(self, job_id: str, index: int, attempt: int, why: str) -> None:
-        """Stops a task in good order, and with it its gang; the reason is durable."""
-        self._store.change_job(
-            job_id, partial(apply_stop, index=index, attempt=attempt, why=why), turn=Turn.WORK
-        )
+    def _answer_of_order(self, station: Station, report: m.Report) -> None:
+        if self.stations.get(station.id) is station:
+            self._take(station, report, checkin=False)
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -3,7 +3,6 @@
 Everything here is a plain function of state and time; nothing is sent from here.
 """
 
-from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -136,13 +135,14 @@
 
     Of a machine that was taken over a moment ago nothing is known yet.
     """
-    quiet = Counter(s.zone for s in stations if silent_s(s, now) > c.PROBE_REPORTS * report_s)
-    known = quiet + Counter(
-        s.zone
-        for s in stations
-        if s.heard_at is not None and silent_s(s, now) <= c.PROBE_REPORTS * report_s
-    )
-    return {zone: (quiet[zone], count) for zone, count in known.items()}
+    quiet_since = now - c.PROBE_REPORTS * report_s
+    found: Seen = {}
+    for s in stations:
+        silent = max(s.since, s.heard_at if s.heard_at is not None else s.since) < quiet_since
+        if silent or s.heard_at is not None:
+            quiet, known = found.get(s.zone, (0, 0))
+            found[s.zone] = (quiet + silent, known + 1)
+    return found
 
 
 def unseen_zones(
@@ -164,6 +164,14 @@
     return found
 
 
+def out_of_sight(
+    stations: list[Station], now: float, report_s: float, others: Sequence[Seen] = ()
+) -> set[str]:
+    """The same, but none when it is all of them: that is trouble of our own, and others see."""
+    unseen = unseen_zones(stations, now, report_s, others)
+    return unseen if any(s.zone not in unseen for s in stations) else set()
+
+
 def silent_for_long(
     stations: list[Station],
     now: float,
@@ -171,11 +179,13 @@
     lease_s: float,
     unseen_at: dict[str, float],
     others: Sequence[Seen] = (),
+    watched_over: bool = False,
 ) -> list[Station]:
     """Machines to be given back for their silence.
 
     `unseen_at`: zone -> when it was last out of sight; kept here. When a zone comes back, its
-    machines are heard one by one, and each has its full time again from then on.
+    machines are heard one by one, and each has its full time again from then on. `watched_over`:
+    what becomes of the others is the fleet lead's to decide, who knows what each owner sees.
     """
     unseen = unseen_zones(stations, now, report_s, others)
     long_s = c.SILENT_RETURN_REPORTS * report_s
@@ -195,7 +205,7 @@
     for s in stations:
         silence = silent_s(s, now)
         if s.zone in unseen:
-            late = silence > c.UNSEEN_KEEP_S
+            late = silence > c.UNSEEN_KEEP_S and not watched_over
         else:
             late = min(silence, now - unseen_at.get(s.zone, -1e9)) > usual
         if late:
@@ -206,11 +216,13 @@
 def lease_over(s: Station, now: float, lease_s: float) -> bool:
     """The worker must have killed everything: we alone could renew, and did not.
 
-    Only valid for an owner that itself answered: an earlier one may renew in a cut zone.
+    Only valid for an owner that itself answered: an earlier one may renew in a cut zone. And only
+    from when the machine was known to hold our token: an earlier owner with an older picture had
+    renewed it after our first answer, which was lost (docs/incidents/older-owner.md).
     """
     if s.answered_at is None or not s.trusted:
         return False
-    return now - s.answered_at > lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
+    return now - max(s.answered_at, s.token_at) > lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/pulleydeal/workers/told.py
@@ -0,0 +1,32 @@
+"""The log lines by which a task can be followed."""
+
+import logging
+
+from pulleydeal.workers.station import Entry, Start, Station, TaskId
+
+log = logging.getLogger("pulleydeal.workers")
+
+
+def progress(station: Station, before: dict[TaskId, Entry]) -> None:
+    for task_id, entry in station.entries.items():
+        old = before.get(task_id)
+        if entry.state != "exited" and (old is None or old.state != entry.state):
+            log.info(
+                "task %s/%d attempt %d on %s: %s",
+                *task_id,
+                entry.attempt,
+                station.id,
+                entry.state,
+                extra={"job": task_id[0], "task": task_id[1], "machine": station.id},
+            )
+
+
+def run(station: Station, start: Start, how: str, epoch: int) -> None:
+    log.info(
+        "run %s/%d attempt %d on %s by %s, epoch %d",
+        *start,
+        station.id,
+        how,
+        epoch,
+        extra={"job": start[0], "task": start[1], "machine": station.id, "epoch": epoch},
+    )
--- a/pulleydeal/zones/decide.py
+++ b/pulleydeal/zones/decide.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from pulleydeal import constants as c
 from pulleydeal.zones import constants as z
 
 
@@ -33,7 +32,6 @@
     revision: int = 0  # the sibling's copy is at least as new as this
     epoch: int = 0  # of the last view that was looked at here
     gone_epoch: int | None = None  # first epoch in which it was missing from the view; None: there
-    gone_at: float = 0.0  # when that was first seen here
 
     def heard(self, stamp: float, now: float) -> None:
         """The sibling shows that it heard what was sent at `stamp`."""
@@ -44,27 +42,33 @@
             self.since = now
         self.answered = stamp
 
-    def view(self, member: bool, epoch: int, now: float) -> None:
+    def view(self, member: bool, epoch: int) -> None:
         """What a new view says of it."""
         skipped, self.epoch = epoch > self.epoch + 1, epoch
         if member:
             self.gone_epoch = None
         elif self.gone_epoch is None or skipped:
             # In a view that was never looked at here it may have been a member again.
-            self.gone_epoch, self.gone_at = epoch, now
+            self.gone_epoch = epoch
 
 
-def blind_for_long(me: Self) -> str:
-    """Why this node may renew nothing on its own account, or nothing: for all its machines."""
+def knows_too_little(me: Self) -> str:
+    """Why this node, when blind, may renew nothing in its zone, or nothing."""
     if not me.member:
         return "not a member when last current"
     if not me.all_on:
         return "not every node keeps to this"
-    if me.blind_s * (1 + c.CLOCK_DRIFT) > z.KEEP_S:
-        return "blind for too long"
     return ""
 
 
+def keeps_nothing(me: Self) -> str:
+    """Why this node keeps no machine but its own, or nothing. There is no end to it by time: a
+    cancellation is told only when it can be kept, so a cut may last for an hour."""
+    if me.blind_s <= z.KEEP_AFTER_S or me.unheard_s <= z.KEEP_AFTER_S:
+        return "somebody who knows more is in reach"
+    return knows_too_little(me)
+
+
 def refuses_to_keep(
     me: Self, zone: str, token_epoch: int, jobs: Iterable[str], cancelled: set[str]
 ) -> str:
@@ -73,9 +77,7 @@
     `token_epoch`: of the token that the machine reports; `jobs`: of the tasks that it reports;
     `cancelled`: jobs that this node knows to be cancelled.
     """
-    if me.blind_s <= z.KEEP_AFTER_S or me.unheard_s <= z.KEEP_AFTER_S:
-        return "somebody who knows more is in reach"
-    if why := blind_for_long(me):
+    if why := keeps_nothing(me):
         return why
     if zone != me.zone:
         return "in another zone"
@@ -91,21 +93,18 @@
     my_zone: str,
     unserved_at: float,
     token_epoch: int,
-    token_at: float,
     lease_s: float,
     now: float,
 ) -> bool:
     """Whether nobody else can have renewed a lease within the last `lease_s`.
 
     `neighbours`: the other nodes of the machine's zone; `unserved_at`: when the state service last
-    did not answer this node; `token_epoch`: of the token that the machine last reported, and
-    `token_at`: when it was first heard to hold one of that epoch.
+    did not answer this node; `token_epoch`: of the token that the machine last reported. It has
+    held that for a whole lease, as else its lease does not count as over (`station.lease_over`).
     """
     for k in neighbours:
-        left = k.gone_epoch is not None and token_epoch >= k.gone_epoch
-        if left and now - token_at > lease_s:
+        if k.gone_epoch is not None and token_epoch >= k.gone_epoch:
             # Its copy is older than the machine's token: it has refused the machine ever since.
-            # Not before: a machine that it had kept until then was taken for lost, and ran twice.
             continue
         since = max(k.since, unserved_at) if k.zone == my_zone else k.since
         if now - k.answered > z.CONTACT_S or now - since <= lease_s:
@@ -113,34 +112,10 @@
     return True
 
 
-def may_tell(
-    neighbours: Iterable[Contact],
-    mark: int,
-    lease_s: float,
-    cancel_s: float,
-    now: float,
-) -> bool:
+def may_tell(neighbours: Iterable[Contact], mark: int) -> bool:
     """Whether a cancellation can be kept, whoever may renew for the job's machines.
 
     `neighbours`: the other nodes of the zones in which tasks of the job are not proved gone;
-    `mark`: the revision of the cancellation.
+    `mark`: the revision of the cancellation. No passing of time stands for a node's own word.
     """
-    for k in neighbours:
-        if k.revision >= mark:
-            continue
-        if k.gone_epoch is None:
-            return False
-        last = k.gone_at + longest_s(lease_s)
-        if last > now + cancel_s * (1 - c.CLOCK_DRIFT):
-            return False
-    return True
-
-
-def longest_s(lease_s: float) -> float:
-    """From the last moment at which a node was current until the last task it kept is gone."""
-    return (z.KEEP_S + lease_s) * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
-
-
-def longest_wait_s(lease_s: float, cancel_s: float) -> float:
-    """The longest that a cancellation is not told; a lost node is voted out after its lease."""
-    return longest_s(lease_s) - cancel_s + c.MEMBER_TTL_MS / 1000
+    return all(k.revision >= mark for k in neighbours)
--- a/pulleydeal/zones/service.py
+++ b/pulleydeal/zones/service.py
@@ -1,36 +1,36 @@
-"""Keeps a cut-off zone's leases from inside, and holds untold what could not be kept."""
+"""Keeps a cut-off zone's leases from inside, holds untold what could not be kept, and says what
+is given back of a zone that stays out of sight."""
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
 
 from prometheus_client import Counter, Gauge
 
 from pulleydeal import constants as c
-from pulleydeal.operators.routes import Route
+from pulleydeal.features.ground import Ground, Handler, Step
+from pulleydeal.features.routes import Route
 from pulleydeal.store.job import Job
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.station import Seen, Station
+from pulleydeal.workers.keeping import Keeping
+from pulleydeal.workers.station import Seen, Station, seen
 from pulleydeal.zones import constants as z
 from pulleydeal.zones import decide
+from pulleydeal.zones.hearing import Hearing
 from pulleydeal.zones.messages import STANDING, Standing, pack, unpack
-
-if TYPE_CHECKING:
-    from pulleydeal.app import App
-    from pulleydeal.features.switch import Handler, Step
+from pulleydeal.zones.watch import Watch
 
 log = logging.getLogger("pulleydeal.zones")
 
 
-class Zones:
-    def __init__(self, app: "App") -> None:
-        self._membership = app.membership
-        self._siblings = app.siblings
-        self._store = app.store
-        self._replica = app.store.replica
-        self._clock = app.clock
-        self._times = times = app.deployment.workers
-        self._workers = app.workers
+class Zones(Keeping):
+    def __init__(self, ground: Ground) -> None:
+        self._membership = ground.membership
+        self._siblings = ground.siblings
+        self._store = ground.store
+        self._replica = ground.replica
+        self._clock = ground.clock
+        self._times = ground.deployment.workers
+        self._stations = ground.stations
         me = self._membership.me
         self._zone = self._membership.zone_of(me)
         now = self._clock.now()
@@ -45,59 +45,46 @@
         self._unserved_at = now  # when the state service last did not answer this node
         self._said_at = -1e9
         self._keeping = False
+        registry = ground.metrics.registry
         self._kept = Counter(
             "pulleydeal_leases_kept",
             "Check-ins of others' machines answered in a cut-off zone",
-            registry=app.metrics.registry,
+            registry=registry,
         )
         self._untold = Counter(
             "pulleydeal_cancellations_untold",
             "Answers put off as a node out of reach may keep a cancelled task",
-            registry=app.metrics.registry,
+            registry=registry,
         )
         self._keeps_zone = Gauge(
             "pulleydeal_keeps_zone",
             "1 while this node keeps its zone's leases from inside a cut",
-            registry=app.metrics.registry,
+            registry=registry,
         )
-        longest_s = decide.longest_wait_s(times.lease_s, times.cancel_s)
-        if longest_s <= z.FORGOTTEN_S:
-            self._membership.serves["zones"] = z.FORMAT
-        else:
-            # Not shown, so nobody keeps; cancellations are still told only when they can be kept.
-            log.error(
-                "zones: off: with lease_s %g and cancel_s %g a cancellation might not be told for"
-                " %.0f s, and %g is the most",
-                times.lease_s,
-                times.cancel_s,
-                longest_s,
-                z.FORGOTTEN_S,
-            )
+        self._membership.serves["zones"] = z.FORMAT
+        self._watch = Watch(ground, self._contacts, self.others_see, self.may_tell)
+        self._hearing = Hearing(ground, self.others_see, self._all_on)
         self._siblings.on(STANDING, self._on_standing)
         self._replica.listen(self._on_change)
-        app.workers.keeps = self.keeps
-        app.workers.bears_blindness = self.bears_blindness
-        app.workers.alone = self.alone
-        app.workers.others_see = self.others_see
-        app.submissions.kept = self.kept
 
     # --- the feature's face to the node -----------------------------------------------------
     async def start(self) -> None:
         """Nothing to open: it speaks over the links that the node has."""
 
-    def loops(self) -> "dict[str, Step]":
-        return {"standing": self._tell}
+    def loops(self) -> dict[str, Step]:
+        return {"standing": self._tell, "hearing": self._hearing.work}
 
     def routes(self) -> list[Route]:
         return []
 
-    def paths(self) -> "dict[str, Handler]":
+    def paths(self) -> dict[str, Handler]:
         return {}
 
     # --- how nodes stand --------------------------------------------------------------------
     async def _tell(self) -> None:
         self._say()
-        if self._keeping and decide.blind_for_long(self._self()):
+        self._watch.look()
+        if self._keeping and decide.keeps_nothing(self._self()):
             self._show(False)
         await asyncio.sleep(z.STANDING_S)
 
@@ -108,7 +95,7 @@
             self._unserved_at = now
         # An older copy was loaded, if this start of the node is not the one in the view.
         revision = self._replica.revision if self._membership.is_member else 0
-        standing = Standing(now, revision, served, self._stamps, self._workers.seen())
+        standing = Standing(now, revision, served, self._stamps, self._mine())
         self._siblings.broadcast(STANDING, pack(standing))
 
     def _on_standing(self, sender: str, payload: bytes) -> None:
@@ -128,7 +115,7 @@
         if kind == "view":
             view = self._replica.view
             for node, contact in self._contacts.items():
-                contact.view(node in view.members, view.epoch, self._clock.now())
+                contact.view(node in view.members, view.epoch)
         elif kind == "job":
             job = self._replica.jobs.get(name)
             over = job is not None and job.bound and job.is_cancelled
@@ -136,8 +123,11 @@
             if over and self._clock.now() - self._said_at >= c.WATCH_SPACING_S / 2:
                 self._say()
 
+    def _mine(self) -> Seen:
+        """How many of this node's own machines are quiet, and known, in each zone."""
+        return seen(list(self._stations.values()), self._clock.now(), self._times.report_s)
+
     def others_see(self) -> list[Seen]:
-        """What the other owners see of the zones' machines, where it is not old."""
         now = self._clock.now()
         return [found for at, found in self._seen.values() if now - at < c.HEARD_NOW_S]
 
@@ -156,13 +146,15 @@
             self._zone,
             self._membership.epoch,
             self._replica.loaded and self._membership.is_member,
-            self._membership.all_serve("zones", z.FORMAT),
+            self._all_on(),
             now - self._store.current_at,
             unheard_s,
         )
 
+    def _all_on(self) -> bool:
+        return self._membership.all_serve("zones", z.FORMAT)
+
     def keeps(self, report: m.Report) -> bool:
-        """Whether the lease of a machine that is another's is renewed, without a command."""
         me = self._self()
         named = {task.task.rpartition("/")[0] for task in report.tasks}
         cancelled = {
@@ -190,44 +182,50 @@
             )
 
     def bears_blindness(self, zone: str) -> bool:
-        """Whether this node, though blind, may answer machines of that zone that it owns."""
-        return zone == self._zone and not decide.blind_for_long(self._self())
+        return zone == self._zone and not decide.knows_too_little(self._self())
 
     # --- what follows for all others ----------------------------------------------------------
-    def _neighbours(self, zone: str) -> list[decide.Contact]:
-        return [contact for contact in self._contacts.values() if contact.zone == zone]
-
     def alone(self, station: Station) -> bool:
-        """Whether nobody else can have renewed the machine's lease since it was last over."""
         lease_s = self._times.lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
         return decide.lease_proves(
-            self._neighbours(station.zone),
+            [k for k in self._contacts.values() if k.zone == station.zone],
             self._zone,
             self._unserved_at,
             station.seen_token >> c.EPOCH_SHIFT,
-            station.token_at,
             lease_s,
             self._clock.now(),
         )
 
-    def _may_tell(self, job: Job) -> bool:
+    def holds_back(self) -> bool:
+        return True
+
+    def says_running(self) -> bool:
+        # One that is not on would tell a cancellation at once.
+        return self._all_on()
+
+    def may_tell(self, job: Job) -> bool:
         # A machine whose record is gone was given back, with all that was on it; it counts until
         # its bindings are taken back all the same.
         zones = {self._replica.zone_of.get(task.machine) for _, task in job.bindings()}
-        return decide.may_tell(
-            [k for k in self._contacts.values() if k.zone in zones or None in zones],
-            job.version,
-            self._times.lease_s,
-            self._times.cancel_s,
-            self._clock.now(),
-        )
+        if self._replica.revision < job.version:
+            zones.add(None)  # bindings written just before it may not be seen yet
+        neighbours = [k for k in self._contacts.values() if k.zone in zones or None in zones]
+        return decide.may_tell(neighbours, job.version)
 
-    async def kept(self, job: Job) -> bool:
-        """Whether the job's cancellation may be told; waits a moment for the other nodes."""
+    async def comes_to_be_told(self, job: Job) -> bool:
         until = self._clock.now() + z.TELL_WAIT_S
-        while not self._may_tell(job):
+        while not self.may_tell(job):
             if self._clock.now() >= until:
                 self._untold.inc()
                 return False
             await asyncio.sleep(z.TELL_LOOK_S)
         return True
+
+    def watched_over(self) -> bool:
+        return self._all_on()
+
+    def owed(self) -> dict[str, str]:
+        return self._watch.owed()
+
+    def distrusted(self) -> set[str]:
+        return self._watch.distrusted()
--- a/standins/owner.py
+++ b/standins/owner.py
@@ -88,7 +88,7 @@
         workers: Any = self._workers
         teams = {name: Team(name, gpus=guarantee) for name in ("core", "other")}
         self._credits = Credits(
-            membership, siblings, self.replica, workers, teams, [], self, Metrics()
+            membership, siblings, self.replica, workers, workers, teams, [], self, Metrics()
         )
 
     def now(self) -> float:
--- a/tests/test_cron_engine.py
+++ b/tests/test_cron_engine.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pulleydeal.operators.routes import Problem
+from pulleydeal.features.routes import Problem
 from pulleydeal.recurring import constants as kc
 from pulleydeal.recurring import crontab
 from pulleydeal.recurring import state as st
