Takes no living zone for a dark one; draws a lost zone with other troubles around it

A zone is dark only if its nodes were seen to be no members for a whole lease while it was in sight. `experiments zoneloss` and `served`; cuts in scenarios add up, dead machines are listed as failed.

--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -20,7 +20,9 @@
     "rollouts",
     "rolloutscale",
     "rolloutseeds",
+    "served",
     "startup",
+    "zoneloss",
 )
 
 
@@ -30,10 +32,16 @@
     parser.add_argument("--quick", action="store_true", help="small, under 30 s")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--out", type=Path, default=Path("target/experiments"))
+    parser.add_argument("--days", type=Path, help="served: a folder with reports of days (JSON)")
     options = parser.parse_args()
     module = importlib.import_module(f"experiments.{options.name}")
     began = time.monotonic()
-    report = asyncio.run(module.run(options.quick, options.seed))
+    if options.days is not None and options.name != "served":
+        parser.error("--days goes with served")
+    if options.days is not None:
+        report = module.read(options.days)
+    else:
+        report = asyncio.run(module.run(options.quick, options.seed))
     console = Console(width=max(100, Console().width))
     reports.show(report, console)
     reports.write(report, options.out, {"quick": options.quick, "seed": options.seed})
--- a/pulleydeal/cli.py
+++ b/pulleydeal/cli.py
@@ -1,4 +1,4 @@
-"""The command line. `--config FILE` alone means `serve`."""
+"""The command line. `--config FILE` without a command means `serve`."""
 
 import argparse
 import asyncio
@@ -58,7 +58,7 @@
 
 def main(argv: list[str] | None = None) -> int:
     args = list(sys.argv[1:] if argv is None else argv)
-    if args and args[0].startswith("--config"):
+    if args and args[0].partition("=")[0] in ("--config", "--policy", "--features"):
         args.insert(0, "serve")
     if args and args[0] in ("rollout", "service"):
         from pulleydeal.rollouts.cli import main as rollouts
--- a/pulleydeal/fleet/plan.py
+++ b/pulleydeal/fleet/plan.py
@@ -53,7 +53,9 @@
     reached: dict[tuple[object, ...], int] = field(default_factory=dict)
     there: Counter[str] = field(default_factory=Counter)  # machines by zone
 
-    unseen: set[str] = field(default_factory=set)  # zones cut off: nothing is rented there
+    unseen: set[str] = field(
+        default_factory=set
+    )  # zones cut off or just back: nothing is rented there
     cheap: set[str] | None = None  # types whose spot machines pay; None: by the usual discount
 
     def __post_init__(self) -> None:
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -151,7 +151,7 @@
             set(self._refused),
             self._spare(boot_s),
             ending=plan.ending(jobs, boot_s),
-            unseen=unseen,
+            unseen=unseen | self._keeping.distrusted(),
             cheap=plan.cheap_enough(self._replica.types, self._policy),
         )
 
@@ -273,8 +273,8 @@
         """Machines out of sight, whose return is the only proof that their tasks are gone."""
         found: dict[str, list[Machine]] = {}
         for name, why in self._keeping.owed().items():
-            machine = self._replica.machines.get(name)
-            if machine is not None and machine.record.state == "up":
+            machine = self._replica.machines[name]
+            if machine.record.state in ("up", "drain") and machine.record.why not in AT_ONCE:
                 found.setdefault(why, []).append(machine)
         for why, machines in found.items():
             await self._mark(machines, why, Turn.WORK)
--- a/pulleydeal/rules.py
+++ b/pulleydeal/rules.py
@@ -74,15 +74,18 @@
 
     First, how many of its aims can no longer be met: where not all can be served in time, room
     given to one that is late anyway makes another late too. Then, for arrays, how much work
-    still waits: the most jobs are done in time when the short ones go first. Services stay in
-    the order of their coming, as each second that a replica is missing counts. The jobs of a
+    still waits: the most jobs are done in time when the short ones go first; for services, the
+    part of their copies that there is: each second of each missing one counts alike, but who has
+    none left, after a zone was lost, serves nobody. The jobs of a
     pipeline are short and others wait for them: they go first among equals, and of them the one
     that must start soonest for the deadlines behind it (`starts_by`). Operators may put another
     measure in the place of the second (`order`).
     """
     spec, record = job.spec, job.record
-    if spec is None or record is None or spec.kind == "service":
+    if spec is None or record is None:
         return 0, 0.0
+    if spec.kind == "service":
+        return 0, job.bound / spec.tasks
     age = wall - job.since
     missed = 0
     for objective in objectives:
--- a/pulleydeal/workers/going.py
+++ b/pulleydeal/workers/going.py
@@ -49,10 +49,9 @@
         self._unseen_at: dict[str, float] = {}  # zone -> when it was last out of sight
 
     def unseen_zones(self) -> set[str]:
-        """Zones that can't be seen from here at present, and those not trusted again yet."""
+        """Zones that can't be seen at present."""
         stations, others = list(self._stations.values()), self._keeping.others_see()
-        unseen = out_of_sight(stations, self._clock.now(), self._times.report_s, others)
-        return unseen | self._keeping.distrusted()
+        return out_of_sight(stations, self._clock.now(), self._times.report_s, others)
 
     async def tend(self) -> None:
         """One round: marks silent and sick machines, and drains those with a notice."""
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -156,7 +156,7 @@
     """
     mine = seen(stations, now, report_s)
     found = set()
-    for zone in mine:
+    for zone in set(mine).union(*others):
         pairs = [counted.get(zone, (0, 0)) for counted in (mine, *others)]
         quiet, known = sum(q for q, _ in pairs), sum(k for _, k in pairs)
         if quiet > max(c.ZONE_SILENT_FEW, known * c.ZONE_SILENT_SHARE):
@@ -167,9 +167,13 @@
 def out_of_sight(
     stations: list[Station], now: float, report_s: float, others: Sequence[Seen] = ()
 ) -> set[str]:
-    """The same, but none when it is all of them: that is trouble of our own, and others see."""
+    """The same, but none when it is all of them: that is trouble of our own, and others see.
+
+    Who owns no machine, as it handed them over, goes by the others.
+    """
     unseen = unseen_zones(stations, now, report_s, others)
-    return unseen if any(s.zone not in unseen for s in stations) else set()
+    known = {s.zone for s in stations} or set[str]().union(*others)
+    return unseen if known - unseen else set()
 
 
 def silent_for_long(
--- a/pulleydeal/zones/decide.py
+++ b/pulleydeal/zones/decide.py
@@ -32,6 +32,7 @@
     revision: int = 0  # the sibling's copy is at least as new as this
     epoch: int = 0  # of the last view that was looked at here
     gone_epoch: int | None = None  # first epoch in which it was missing from the view; None: there
+    gone_at: float = 0.0  # when it was first seen missing
 
     def heard(self, stamp: float, now: float) -> None:
         """The sibling shows that it heard what was sent at `stamp`."""
@@ -42,14 +43,14 @@
             self.since = now
         self.answered = stamp
 
-    def view(self, member: bool, epoch: int) -> None:
+    def view(self, member: bool, epoch: int, now: float) -> None:
         """What a new view says of it."""
         skipped, self.epoch = epoch > self.epoch + 1, epoch
         if member:
             self.gone_epoch = None
         elif self.gone_epoch is None or skipped:
             # In a view that was never looked at here it may have been a member again.
-            self.gone_epoch = epoch
+            self.gone_epoch, self.gone_at = epoch, now
 
 
 def knows_too_little(me: Self) -> str:
--- a/pulleydeal/zones/losses.py
+++ b/pulleydeal/zones/losses.py
@@ -26,6 +26,16 @@
     inside: frozenset[str] = frozenset()  # nodes there that may be keeping its leases
     sliced_at: float = -1e9  # when a part of it was last given back
 
+    def may_keep(self, gone_at: float | None, lease_s: float, now: float) -> bool:
+        """Whether a node of the zone, which falls silent now, may be keeping its leases.
+
+        `gone_at`: since when it was seen to be no member; None: it is one. Only one that was
+        none for a whole lease in which its zone was in sight keeps nothing. A lead that had just
+        started had never heard the node inside, took a living zone for a dark one and gave all
+        its 275 machines back; nor does a zone that flaps say anything of its node.
+        """
+        return gone_at is None or now - max(gone_at, self.back_at) <= lease_s
+
     def look(self, unseen: bool, now: float, inside: Callable[[], frozenset[str]]) -> None:
         """Takes in whether the zone is out of sight; `inside` is asked as it falls silent."""
         if unseen and self.fell_at is None:
--- a/pulleydeal/zones/service.py
+++ b/pulleydeal/zones/service.py
@@ -115,7 +115,7 @@
         if kind == "view":
             view = self._replica.view
             for node, contact in self._contacts.items():
-                contact.view(node in view.members, view.epoch)
+                contact.view(node in view.members, view.epoch, self._clock.now())
         elif kind == "job":
             job = self._replica.jobs.get(name)
             over = job is not None and job.bound and job.is_cancelled
@@ -209,7 +209,11 @@
         zones = {self._replica.zone_of.get(task.machine) for _, task in job.bindings()}
         if self._replica.revision < job.version:
             zones.add(None)  # bindings written just before it may not be seen yet
-        neighbours = [k for k in self._contacts.values() if k.zone in zones or None in zones]
+        neighbours = [
+            k
+            for node, k in self._contacts.items()
+            if (k.zone in zones or None in zones) and self._replica.shown.get(node, {}).get("zones")
+        ]
         return decide.may_tell(neighbours, job.version)
 
     async def comes_to_be_told(self, job: Job) -> bool:
--- a/pulleydeal/zones/watch.py
+++ b/pulleydeal/zones/watch.py
@@ -47,16 +47,16 @@
             self._told[zone] = state
 
     def _inside(self, zone: str) -> frozenset[str]:
-        """Nodes of a zone that may be keeping its leases: at work until it fell silent.
-
-        One that was out of reach for longer than a lease keeps nothing that still lives.
-        """
+        """Nodes of a zone that may be keeping its leases when it falls silent."""
         lease_s = self._ground.deployment.workers.lease_s
-        now = self._ground.clock.now()
+        now, watched = self._ground.clock.now(), self._zones[zone]
         return frozenset(
             node
             for node, contact in self._contacts.items()
-            if contact.zone == zone and now - contact.answered <= lease_s
+            if contact.zone == zone
+            and watched.may_keep(
+                None if contact.gone_epoch is None else contact.gone_at, lease_s, now
+            )
         )
 
     def distrusted(self) -> set[str]:
@@ -98,12 +98,12 @@
             late = job.untold and job.record and wall - job.record.ended > z.UNTOLD_RETURN_S
             if late and not self._may_tell(job):
                 found += [task.machine for _, task in job.bindings()]
-        return found
+        return [machine for machine in found if machine in self._replica.machines]
 
     def _lost(self, zone: str) -> list[losses.Lost]:
         found = []
         for name, machine in self._replica.machines.items():
-            if machine.record.zone != zone or machine.record.state != "up":
+            if machine.record.zone != zone or machine.record.state not in ("up", "drain"):
                 continue
             bound = self._replica.bound.get(name, {})
             jobs = [self._replica.jobs[job] for job in {job for job, _ in bound}]
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -71,6 +71,11 @@
             self.capacity[(entry["yard"], entry["loaners"])] += 1
             self._stop(block)
 
+    def fail(self, block: str) -> None:
+        """It stopped on its own; listed as such until it is deleted."""
+        if block in self.blocks:
+            self.blocks[block]["tension"] = "failed"
+
     def _list(self, query: dict[str, str]) -> Response:
         then = self._clock.now() - self._lag_s
         shown = next((s for at, s in reversed(self._history) if at <= then), [])
--- a/standins/net.py
+++ b/standins/net.py
@@ -103,18 +103,18 @@
         self.loop: VirtualLoop
         self.listeners: dict[tuple[str, int], Listener] = {}
         self._held: list[tuple[Pipe, Callable[[], None]]] = []
-        self._cut: Callable[[Host, Host], bool] = lambda a, b: False
+        self._cuts: list[Callable[[Host, Host], bool]] = []
 
     def blocked(self, a: Host, b: Host) -> bool:
-        return a is not b and (self._cut(a, b) or self._cut(b, a))
+        return a is not b and any(cut(a, b) or cut(b, a) for cut in self._cuts)
 
     def cut(self, between: Callable[[Host, Host], bool]) -> None:
-        """Holds back whatever goes between hosts for which `between` is true."""
-        self._cut = between
+        """Holds back whatever goes between hosts for which `between` is true, beside all else."""
+        self._cuts.append(between)
 
     def heal(self) -> None:
         """Delivers in order what was held back, even from connections given up meanwhile."""
-        self._cut = lambda a, b: False
+        self._cuts.clear()
         held, self._held = self._held, []
         for pipe, deliver in held:
             pipe.later(deliver)
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -14,6 +14,7 @@
         self.places: dict[str, dict[str, str]] = {}  # lift -> block -> yard
         self.starts = 0
         self.lost = 0  # tasks that workers gave up as their lease was over
+        self.changes: list[tuple[float, str, int]] = []  # when a task of which job came or went
         self.usage: dict[str, list[float]] = {}  # team -> accelerators in use, at each change
         self._told: dict[str, str] = {}
         self._cancelled: dict[str, float] = {}
@@ -64,6 +65,7 @@
         if job["spread"] and others.count(yard) + 1 > (job["lifts"] + 1) // 2:
             self._break("wrong_place", f"{lift}: too many in {yard}")
         self.places.setdefault(lift, {})[block] = yard
+        self.changes.append((self._now(), name, 1))
         limit = self._limits[job["crew"]]
         used = self._used(job["crew"])
         if limit and used > limit:
@@ -82,6 +84,7 @@
     def off(self, lift: str, block: str) -> None:
         self.check_cancelled()
         if self.places.get(lift, {}).pop(block, None) is not None:
+            self.changes.append((self._now(), lift.rpartition("/")[0], -1))
             self._used(self.uploads[lift.rpartition("/")[0]]["crew"])
 
     def check_cancelled(self) -> None:
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -8,7 +8,7 @@
   cloud down|up       | cut ZONE ZONE | cut BLOCK | heal | lose SHARE
   cut ZONE                                       that zone from everything
   deafen NODE                                    that node from all workers, both ways
-  die BLOCK | sick BLOCK | notice BLOCK SECONDS
+  die BLOCK|ZONE (with all its machines) | sick BLOCK | notice BLOCK SECONDS
   state limits VALUE_KB TXN_OPS WRITE_RPS        the state service's limits from now on
   load FILE   (only as the first event)          goes on from records that another version left
                                                  behind; its machines are up, and their tasks lost
@@ -62,6 +62,7 @@
     "ready_s": 20.0,
     "yards": ZONES,
 }
+FAILED_S = 30.0  # PROTOCOL: a machine that dies keeps appearing as running for about so long
 WORKERS = "10.1."  # workers' addresses begin so
 CANCEL_S = 34.0
 RESTART_S = 5.0
@@ -339,9 +340,12 @@
     def do_heal(self) -> None:
         self._network.heal()
 
-    def do_die(self, block: str) -> None:
-        self._workers[block].vanish()
-        self._network.kill(self._hosts[block])
+    def do_die(self, what: str) -> None:
+        for block, worker in list(self._workers.items()):
+            if what in (block, worker.yard):
+                worker.vanish()
+                self._network.kill(self._hosts[block])
+                self._loop.call_later(FAILED_S, self.cloud.fail, block)
 
     def do_sick(self, block: str) -> None:
         self._workers[block].sick = True
--- a/tests/test_api.py
+++ b/tests/test_api.py
@@ -221,6 +221,7 @@
     with pytest.raises(SettingsError, match="api_addr"):
         load(path)
     assert main(["--config", str(path)]) == 2
+    assert main(["--features", str(tmp_path / "no.toml"), "--config", str(path)]) == 2
     assert main(["check", "--config", str(tmp_path / "none.json")]) == 2
     assert "none.json" in capsys.readouterr().err
     assert main(["status", "j-1", "--node", "127.0.0.1:1"]) == 1
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,7 +1,12 @@
 """Who is given back for its silence: single dead machines soon, a cut zone's not."""
 
 from pulleydeal import constants as c
-from pulleydeal.workers.station import Station, silent_for_long, unseen_zones
+from pulleydeal.workers.station import (
+    Station,
+    out_of_sight,
+    silent_for_long,
+    unseen_zones,
+)
 
 REPORT_S, LEASE_S = 3.0, 14.0
 SOON = c.SILENT_RETURN_REPORTS * REPORT_S
@@ -64,3 +69,10 @@
     stations = machines("east", [100.0] * 10) + machines("west", [100.0] * 10)
     assert given_back(stations, 100.0 + LEASE_S, {}) == []
     assert len(given_back(stations, 100.0 + LEASE_S + 0.1, {})) == 20
+
+
+def test_a_node_that_owns_no_machine_goes_by_what_the_others_see() -> None:
+    cut = [{"east": (9, 10), "west": (0, 9)}, {"east": (7, 8)}]
+    assert out_of_sight([], 100.0, REPORT_S, cut) == {"east"}
+    assert out_of_sight([], 100.0, REPORT_S, [{"east": (9, 10)}]) == set()
+    assert out_of_sight([], 100.0, REPORT_S) == set()
--- a/tests/test_zone_losses.py
+++ b/tests/test_zone_losses.py
@@ -33,6 +33,17 @@
     assert losses.state(Watched(), 101.0) == "whole"
 
 
+def test_only_a_node_long_gone_while_its_zone_was_in_sight_keeps_nothing() -> None:
+    zone = Watched()
+    assert zone.may_keep(None, LEASE_S, 1e6)
+    assert not zone.may_keep(50.0, LEASE_S, 51.0 + LEASE_S)
+    assert zone.may_keep(50.0, LEASE_S, 50.0 + LEASE_S)  # a lead that has just started
+    zone.look(True, 100.0, lambda: INSIDE)
+    zone.look(False, 200.0, lambda: INSIDE)
+    assert zone.may_keep(50.0, LEASE_S, 201.0)  # a zone that flaps, its node not back yet
+    assert not zone.may_keep(50.0, LEASE_S, 201.0 + LEASE_S)
+
+
 def test_trust_in_a_zone_that_flaps_takes_longer_each_time_but_never_for_ever() -> None:
     zone, now, waits = Watched(), 0.0, []
     for _ in range(9):
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -88,12 +88,12 @@
 
 def test_a_machine_that_left_a_lost_node_behind_is_believed() -> None:
     k = decide.Contact("east", 0.0, -1e9)
-    k.view(member=True, epoch=7)
-    k.view(member=False, epoch=8)
+    k.view(member=True, epoch=7, now=0.0)
+    k.view(member=False, epoch=8, now=0.0)
     assert not proves(k, 100.0, epoch=7)
     assert proves(k, 100.0, epoch=8)
     # It may have been a member again in a view that was never looked at here.
-    k.view(member=False, epoch=10)
+    k.view(member=False, epoch=10, now=0.0)
     assert not proves(k, 100.0, epoch=8)
 
 
@@ -118,7 +118,7 @@
 def test_a_cancellation_is_told_on_each_nodes_own_word_and_by_no_passing_of_time() -> None:
     k = decide.Contact("east", 0.0, 0.0, revision=411)
     assert not decide.may_tell([k], 412)
-    k.view(member=False, epoch=1)
+    k.view(member=False, epoch=1, now=0.0)
     assert not decide.may_tell([k], 412)
     k.revision = 412
     assert decide.may_tell([k], 412)
