Hands a deaf node's last machines over too; says nothing of zones while hearing nothing

Change: who hears none of its machines in several zones hands all over once one zone is proved alive by others, and leaves them out of what it says of zones.

--- a/pulleydeal/zones/losses.py
+++ b/pulleydeal/zones/losses.py
@@ -101,25 +101,30 @@
 
 
 # --- a node that hears none of its machines ---------------------------------------------------
+def hears_nothing(mine: Seen) -> bool:
+    """Whether a node with machines in several zones hears none of them: no zone is to blame."""
+    return len(mine) > 1 and all(quiet == known for quiet, known in mine.values())
+
+
 def unheard(mine: Seen, others: Sequence[Seen], deaf: AbstractSet[str] = frozenset()) -> set[str]:
     """Zones whose machines are quiet for this node, but not for the others that own some there.
 
     Where nobody else hears them either it is the zone that is out of sight. `deaf`: zones handed
-    over already. Few machines say nothing of the node, unless it hears none at all: then it had
-    given back the two that it owned in a third zone, as dead.
+    over already. Few machines say nothing of the node, unless it hears none at all; then those
+    go too of which nobody else owns any: it had given them back, one by one, as dead.
     """
-    quiet, known = (sum(counts) for counts in zip(*mine.values(), strict=True)) if mine else (0, 0)
-    nothing = quiet == known and (known >= z.DEAF_FEW or bool(deaf))
-    found = set()
+    nothing = hears_nothing(mine) or bool(deaf and all(q == k for q, k in mine.values()))
+    found, nobodys = set(), set()
     for zone, (silent, there) in mine.items():
-        if not there or silent < there * z.DEAF_SHARE or (there < z.DEAF_FEW and not nothing):
+        if silent < there * z.DEAF_SHARE or (there < z.DEAF_FEW and not nothing):
             continue
         theirs = [seen[zone] for seen in others if zone in seen]
-        count = sum(k for _, k in theirs)
-        heard = count >= (1 if nothing else z.DEAF_FEW)
-        if heard and sum(q for q, _ in theirs) < count * (1 - z.DEAF_SHARE):
+        silent, count = sum(q for q, _ in theirs), sum(k for _, k in theirs)
+        if not count:
+            nobodys.add(zone)
+        elif count >= (1 if nothing else z.DEAF_FEW) and silent < count * (1 - z.DEAF_SHARE):
             found.add(zone)
-    return found
+    return found | nobodys if nothing and (found or deaf) else found
 
 
 @dataclass(slots=True)
--- a/pulleydeal/zones/service.py
+++ b/pulleydeal/zones/service.py
@@ -14,7 +14,7 @@
 from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.station import Seen, Station, seen
 from pulleydeal.zones import constants as z
-from pulleydeal.zones import decide
+from pulleydeal.zones import decide, losses
 from pulleydeal.zones.hearing import Hearing
 from pulleydeal.zones.messages import STANDING, Standing, pack, unpack
 from pulleydeal.zones.watch import Watch
@@ -95,7 +95,10 @@
             self._unserved_at = now
         # An older copy was loaded, if this start of the node is not the one in the view.
         revision = self._replica.revision if self._membership.is_member else 0
-        standing = Standing(now, revision, served, self._stamps, self._mine())
+        # What a node sees that hears nothing at all says nothing of the zones.
+        mine = self._mine()
+        shown = {} if losses.hears_nothing(mine) else mine
+        standing = Standing(now, revision, served, self._stamps, shown)
         self._siblings.broadcast(STANDING, pack(standing))
 
     def _on_standing(self, sender: str, payload: bytes) -> None:
