--- a/pulleydeal/zones/decide.py
+++ b/pulleydeal/zones/decide.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from pulleydeal import constants as c
 from pulleydeal.zones import constants as z
 
 
@@ -53,6 +54,11 @@
             self.gone_epoch, self.gone_at = epoch, now
 
 
+def fits(lease_s: float, cancel_s: float) -> bool:
+    """Whether what was kept until the cancellation was heard of is gone in time after it."""
+    return lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S < cancel_s * (1 - c.CLOCK_DRIFT)
+
+
 def knows_too_little(me: Self) -> str:
     """Why this node, when blind, may renew nothing in its zone, or nothing."""
     if not me.member:
--- a/pulleydeal/zones/losses.py
+++ b/pulleydeal/zones/losses.py
@@ -74,13 +74,17 @@
     return sorted(machines, key=lambda m: (-m.priority, m.elsewhere, -m.tasks, m.machine))
 
 
-def dark(zone: Watched, machines: Sequence[Lost], lease_s: float, now: float) -> list[Lost]:
+def dark(
+    zone: Watched, machines: Sequence[Lost], lease_s: float, boot_s: float, now: float
+) -> list[Lost]:
     """Of a dark zone whose leases are over: all that have tasks. Nothing on them lives any more,
-    and the cloud's answer proves it where an owner has no proof of its own."""
+    and the cloud's answer proves it where an owner has no proof of its own. The others are worth
+    their boot for some time, and cost money for nothing after that."""
     over = lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
     if state(zone, now) != "dark" or zone.fell_at is None or now - zone.fell_at <= over:
         return []
-    return first_back(m for m in machines if m.tasks)
+    all_ = now - zone.fell_at > z.EVACUATE_BOOTS * boot_s
+    return first_back(m for m in machines if m.tasks or all_)
 
 
 def evacuated(
@@ -96,8 +100,7 @@
         return []
     if now - zone.fell_at <= z.EVACUATE_BOOTS * boot_s or now - zone.sliced_at <= boot_s:
         return []
-    found = first_back(m for m in machines if m.tasks)
-    return found[: math.ceil(len(machines) * z.SLICE_SHARE)]
+    return first_back(machines)[: math.ceil(len(machines) * z.SLICE_SHARE)]
 
 
 # --- a node that hears none of its machines ---------------------------------------------------
--- a/pulleydeal/zones/service.py
+++ b/pulleydeal/zones/service.py
@@ -61,7 +61,15 @@
             "1 while this node keeps its zone's leases from inside a cut",
             registry=registry,
         )
-        self._membership.serves["zones"] = z.FORMAT
+        if decide.fits(self._times.lease_s, self._times.cancel_s):
+            self._membership.serves["zones"] = z.FORMAT
+        else:
+            # Not shown, so nobody keeps; cancellations are still told only when they can be kept.
+            log.error(
+                "zones: off: a lease of %g s leaves no time for a cancellation's %g s",
+                self._times.lease_s,
+                self._times.cancel_s,
+            )
         self._watch = Watch(ground, self._contacts, self.others_see, self.may_tell)
         self._hearing = Hearing(ground, self.others_see, self._all_on)
         self._siblings.on(STANDING, self._on_standing)
--- a/pulleydeal/zones/watch.py
+++ b/pulleydeal/zones/watch.py
@@ -79,7 +79,7 @@
             if now - watched.fell_at <= lease_s:
                 continue
             there = self._lost(zone)
-            for lost in losses.dark(watched, there, lease_s, now):
+            for lost in losses.dark(watched, there, lease_s, self._boot_s(), now):
                 found.setdefault(lost.machine, DARK)
             part = losses.evacuated(watched, there, self._boot_s(), self._waiting(), now)
             if part:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -9,6 +9,7 @@
 import pytest
 from rich.console import Console
 
+from experiments import served, zoneloss
 from experiments.load import Result, play
 from experiments.report import Plot, Report, show, write
 from standins.demo import main as demo
@@ -96,3 +97,36 @@
         assert "p/j/j-014x" in seen and "p/j/j-015" not in seen and "q/other" not in seen
 
     virtually(work)
+
+
+def test_what_zoneloss_makes_of_the_changes_that_it_saw() -> None:
+    changes = [(1.0, "j-1", 1)] * 30 + [(2.0, "j-9", 1), (95.0, "j-1", -1), (125.0, "j-1", 1)]
+    changes += [(130.0, "j-2", 1)] * 12
+    series = zoneloss.copies_up(changes, 90.0, 200.0)
+    assert series[0] == (90.0, 30) and series[-1] == (200.0, 42)
+    assert zoneloss.worst(series, 90.0, 200.0) == pytest.approx(29 / 42)
+    assert zoneloss.whole_after(series, 90.0, 200.0) == 40.0
+    assert zoneloss.whole_after([(90.0, 42), (99.0, 42)], 90.0, 99.0) == 0.0
+    for seed in range(40):  # what is drawn is a scenario
+        text, back = zoneloss.scenario(seed, True)
+        times = [float(line.split()[0]) for line in text.splitlines()]
+        assert times == sorted(times) and times[-1] >= back
+
+
+def test_a_class_or_a_team_that_got_less_than_half_is_named(tmp_path: Path) -> None:
+    uploads = {
+        f"j-{i}": {"rig": "a" if i < 4 else "b", "crew": "x" if i % 2 else "y", "haul": "batch"}
+        for i in range(8)
+    }
+    uploads["j-8"] = {"rig": "s", "crew": "z", "haul": "standing"}
+    ended = {job: job in ("j-1", "j-3", "j-5", "j-7") for job in uploads}
+    found = served.shares(uploads, ended, cancelled={"j-0"})
+    assert found == {"class a": 2 / 3, "class b": 0.5, "team x": 1.0, "team y": 0.0}
+    assert served.least_served(found) == 0.0
+    day = {"classes": {"s": {"jobs": 3, "started": 3, "done": 0, "up": 0.9, "cancelled": 1}}}
+    day["classes"]["a"] = {"jobs": 10, "started": 9, "done": 4, "cancelled": 1}
+    (tmp_path / "day.json").write_text(json.dumps(day))
+    report = served.read(tmp_path)
+    assert report.rows[0]["a"] == pytest.approx(4 / 9) and report.rows[0]["least"] == "a"
+    assert not report.held and "a is served 0.44" in report.notes[0]
+    assert not served.read(tmp_path / "none").held
--- a/tests/test_zone_losses.py
+++ b/tests/test_zone_losses.py
@@ -64,11 +64,12 @@
 def test_of_a_dark_zone_what_has_tasks_goes_once_the_leases_are_over() -> None:
     there = [*machines(5), Lost("vm-empty", 0, -1, 1.0)]
     zone = fallen(100.0, NOBODY)
-    assert losses.dark(zone, there, LEASE_S, 100.0 + LEASE_S) == []
-    found = losses.dark(zone, there, LEASE_S, 101.1 + LEASE_S)
+    assert losses.dark(zone, there, LEASE_S, BOOT_S, 100.0 + LEASE_S) == []
+    found = losses.dark(zone, there, LEASE_S, BOOT_S, 101.1 + LEASE_S)
     assert [m.machine for m in found] == [f"vm-{i:02}" for i in range(5)]
+    assert len(losses.dark(zone, there, LEASE_S, BOOT_S, 101 + LONG_S)) == 6  # the empty one too
     # With a node inside nothing is over by any time.
-    assert losses.dark(fallen(100.0, INSIDE), there, LEASE_S, 1e6) == []
+    assert losses.dark(fallen(100.0, INSIDE), there, LEASE_S, BOOT_S, 1e6) == []
 
 
 def test_a_zone_cut_off_for_long_goes_in_slices_while_what_they_held_finds_room() -> None:
@@ -89,7 +90,8 @@
     half = Lost("vm-2", 1, 3, 0.5)
     none = Lost("vm-3", 1, 3, 0.0)
     both = Lost("vm-4", 2, 3, 0.0)
-    assert losses.first_back([array, half, none, both]) == [both, none, half, array]
+    empty = Lost("vm-0", 0, -1, 1.0)
+    assert losses.first_back([empty, array, half, none, both]) == [both, none, half, array, empty]
 
 
 # --- a node that hears none of its machines ---------------------------------------------------
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -125,6 +125,11 @@
     assert decide.may_tell([], 412)
 
 
+def test_settings_whose_leases_outlast_a_cancellation_switch_it_off() -> None:
+    assert decide.fits(14.0, 34.0)
+    assert not decide.fits(14.0, 15.0)
+
+
 def test_what_nodes_say_comes_out_as_it_went_in() -> None:
     said = Standing(12.5, 2**40, True, {"winch-1": 3.25}, {"east": (3, 70_000)})
     assert unpack(pack(said)) == said
