Lets nodes stand still in scenarios; a frozen node inside a cut, and one that wakes beside it

Need: the frozen node inside was argued and never played. What would have run on the host waits in its order, its clocks go on.

--- a/experiments/zoneloss.py
+++ b/experiments/zoneloss.py
@@ -60,7 +60,7 @@
 
 
 def trouble(rng: random.Random, at: float, zone: str) -> list[tuple[float, str]]:
-    kind, for_s = rng.randrange(8), rng.uniform(4, 20)
+    kind, for_s = rng.randrange(9), rng.uniform(4, 20)
     outside = rng.choice([node for z, node in NODE_IN.items() if z != zone])
     if kind == 0:
         return [(at, f"crash {NODE_IN[zone]} {for_s:.1f}")]
@@ -76,6 +76,8 @@
         return [(at, f"state refuse {outside}"), (at + for_s, "state refuse none")]
     if kind == 6:
         return [(at, "lose 0.05"), (at + for_s, "lose 0.0")]
+    if kind == 7:
+        return [(at, f"freeze {rng.choice(list(NODE_IN.values()))} {2 * for_s:.1f}")]
     return [(at, f"deafen {outside}")]  # until the next heal, or the end
 
 
--- a/standins/net.py
+++ b/standins/net.py
@@ -24,6 +24,8 @@
         # In the order of their coming: the order in which they end is the same in every run.
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.pipes: dict[Pipe, None] = {}
+        self.frozen = False
+        self.due: list[asyncio.Handle] = []  # what would have run while it stood still
 
 
 class _Timers:
@@ -51,6 +53,40 @@
     def time(self) -> float:
         return self.clock
 
+    # What runs on a frozen host waits, in its order, for it to go on; its clocks go on meanwhile.
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> Any:
+        context = context if context is not None else contextvars.copy_context()
+        host = context.get(HOST)
+        if host is None or not host.frozen:
+            return super().call_soon(callback, *args, context=context)
+        handle = asyncio.Handle(callback, args, self, context)
+        host.due.append(handle)
+        return handle
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> Any:
+        context = context if context is not None else contextvars.copy_context()
+        host = context.get(HOST)
+        if host is None:
+            return super().call_at(when, callback, *args, context=context)
+
+        def ring() -> None:
+            if host.frozen:
+                host.due.append(asyncio.Handle(late, (), self, context))
+            else:
+                callback(*args)
+
+        def late() -> None:
+            if not timer.cancelled():
+                callback(*args)
+
+        timer = super().call_at(when, ring, context=context)
+        return timer
+
+    def thaw(self, host: Host) -> None:
+        host.frozen = False
+        due, host.due = host.due, []
+        self._ready.extend(handle for handle in due if not handle.cancelled())
+
     def _process_events(self, event_list: list[Any]) -> None:
         """There are no file descriptors here."""
 
@@ -123,6 +159,7 @@
         self._held.append((pipe, deliver))
 
     def kill(self, host: Host) -> None:
+        self.loop.thaw(host)
         host.alive = False
         for listener in [x for x in self.listeners.values() if x.host is host]:
             listener.close()
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -7,6 +7,7 @@
   crash NODE [FOR_S]  | crash all [FOR_S]         | state down|up | state refuse NODE|none
   cloud down|up       | cut ZONE ZONE | cut BLOCK | heal | lose SHARE
   cut ZONE                                       that zone from everything
+  freeze NODE FOR_S                              it stands still while its clocks run on
   deafen NODE                                    that node from all workers, both ways
   die BLOCK|ZONE [SHARE] (that part of its machines) | sick BLOCK | notice BLOCK SECONDS
   state limits VALUE_KB TXN_OPS WRITE_RPS        the state service's limits from now on
@@ -334,6 +335,11 @@
             host = self._hosts[a]
             self._network.cut(lambda x, y: x is host)
 
+    def do_freeze(self, node: str, for_s: str) -> None:
+        host = self._hosts[node]
+        host.frozen = True
+        self._loop.call_later(float(for_s), self._loop.thaw, host)
+
     def do_deafen(self, node: str) -> None:
         host = self._hosts[node]
         self._network.cut(lambda x, y: x is host and y.ip.startswith(WORKERS))
