Parts placement by what may be bound, what is cleaned up, and the round that asks

Change: bindings.py (limits, zones and kinds where a binding is made) and cleaning.py (tasks that went with their machines, jobs that are over); no decision changed.

--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -4,7 +4,6 @@
 import logging
 import threading
 from collections import Counter
-from functools import partial
 
 from pulleydeal import constants as c
 from pulleydeal import rules
@@ -15,6 +14,8 @@
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
+from pulleydeal.placement.bindings import Bindings
+from pulleydeal.placement.cleaning import Cleaning
 from pulleydeal.placement.parts import Parts
 from pulleydeal.placement.pending import Pending, PendingAsks, TaskId
 from pulleydeal.policy.settings import Policy
@@ -25,8 +26,6 @@
 from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Replica
 from pulleydeal.store.service import Store
-from pulleydeal.workers.changes import apply_exit
-from pulleydeal.workers.station import Exit
 
 log = logging.getLogger("pulleydeal.placement")
 
@@ -62,8 +61,8 @@
         self._gang_zone: dict[str, tuple[str, float]] = {}
         self._reasons: dict[str, str] = {}
         self._turns: dict[str, tuple[int, float, float]] = {}  # of the jobs that wait
-        self._clearing: set[str] = set()
-        self._gone: set[str] = set()  # machines given back, perhaps with bindings left
+        self._cleaning = Cleaning(membership, store)
+        self._bindings = Bindings(membership, store.replica, self._pending, teams, zones)
         self._inside: set[str] = set()  # jobs within their team's guarantee
         self._inside_at = -1  # the replica's count of open jobs' changes for which that holds
         # Open jobs, and those led here, for the view and the count of changes for which they hold:
@@ -80,10 +79,9 @@
         if kind == "view":
             with self._lock:
                 self._pending.keep_writing()
-            # Whoever led before may have left some; and after a load no machine was told of.
-            self._gone.update(self._replica.bound)
+            self._cleaning.look_at_all()
         elif kind in ("machine", "bound"):
-            self._gone.add(name)
+            self._cleaning.look_at(name)
         self._wake.set()
 
     def reason(self, job: str) -> str:
@@ -105,14 +103,14 @@
 
     def _round(self, now: float) -> None:
         jobs, mine = self._led()
-        self._release_gone()
+        self._cleaning.release_gone()
         for job in mine:
             if job.is_open and job.spec is not None and job.done >= job.spec.tasks:
                 # Two owners that each wrote the last end of a chunk at the same moment: neither
                 # saw that all are done, and the job stayed open, and what waits on it too.
-                self._sweep(job, Turn.WORK)
-            elif not job.is_open and not job.bound and len(self._clearing) < c.SWEEPS_AT_ONCE:
-                self._sweep(job, Turn.LATER)
+                self._cleaning.sweep(job, Turn.WORK)
+            elif not job.is_open and not job.bound:
+                self._cleaning.sweep(job, Turn.LATER)
         self._forget(now)
         self._reasons = {}
         if self._inside_at != self._replica.open_changes:
@@ -164,56 +162,6 @@
             usage[job.spec.team] = rules.add(usage.get(job.spec.team, (0.0, 0.0)), amount)
         return usage
 
-    def _spec(self, job: str) -> r.JobSpec | None:
-        found = self._replica.jobs.get(job)
-        return found.spec if found else None
-
-    def _is_bound(self, key: TaskId) -> bool:
-        job = self._replica.jobs.get(key[0])
-        return job is not None and bool(job.task(key[1]).machine)
-
-    def _writing_amounts(self) -> dict[TaskId, tuple[str, rules.Amount]]:
-        """What bindings under way would use, as far as the replica does not show it yet."""
-        found = {}
-        for key in self._pending.writing():
-            spec = self._spec(key[0])
-            if spec is not None and not self._is_bound(key):
-                found[key] = (spec.team, (spec.cpus, spec.gpus))
-        return found
-
-    def _release_gone(self) -> None:
-        """A machine that is durably gone took all its tasks with it."""
-        for machine in list(self._gone):
-            record = self._replica.machines.get(machine)
-            bound = self._replica.bound.get(machine)
-            if not bound or record is None or record.record.state != "gone":
-                self._gone.discard(machine)  # its next change is told again
-                continue
-            for (job_id, index), task in bound.items():
-                spec = self._spec(job_id)
-                key = f"{job_id}/{index}"
-                if spec is None or key in self._clearing or not self._membership.leads_job(spec):
-                    continue
-                self._clearing.add(key)
-                why = task.stop or "its machine is gone"
-                proof = Exit(job_id, index, task.attempt, machine, "lost", why)
-                log.info("task %s attempt %d: machine %s is gone", key, task.attempt, machine)
-                future = self._store.change_job(
-                    job_id, partial(apply_exit, gone=proof), turn=Turn.WORK
-                )
-                future.add_done_callback(partial(self._cleared, key))
-
-    def _sweep(self, job: Job, turn: Turn) -> None:
-        """Writes what follows from what is known already: that a job is done or cancelled, and
-        what a large one left behind goes bit by bit, until one slim record stays."""
-        if job.id not in self._clearing:
-            self._clearing.add(job.id)
-            future = self._store.change_job(job.id, lambda draft: None, turn)
-            future.add_done_callback(partial(self._cleared, job.id))
-
-    def _cleared(self, key: str, _: "asyncio.Future[bool]") -> None:
-        self._clearing.discard(key)
-
     def _forget(self, now: float) -> None:
         with self._lock:
             for job_id in self._pending.jobs():
@@ -223,7 +171,7 @@
                         continue
                     key = (job_id, index)
                     if job is None or not job.is_open or index in job.on_machines:
-                        self._drop(key, tell=not self._is_bound(key))
+                        self._drop(key, tell=not self._bindings.is_bound(key))
                     elif pending.machine and now > pending.until:
                         self._drop(key, tell=True)
         if now - self._tidied_at < c.TIDY_S:
@@ -399,71 +347,11 @@
 
         def mutate(draft: Draft) -> None:
             if self._clock.now() < until:
-                self._apply_binding(draft, machines)
+                self._bindings.apply(draft, machines)
 
         future = self._store.change_job(job.id, mutate, turn=Turn.WORK)
         future.add_done_callback(lambda _: self._bound(job.id, keys, machines))
 
-    def _apply_binding(self, draft: Draft, machines: dict[int, str]) -> None:
-        """Runs against the newest record, as often as the marks require."""
-        spec = draft.spec
-        if draft.job.blockers:
-            # Only jobs that the replica shows as done are not in there, and done never changes:
-            # what it shows is proof. Looked at here, where the binding is made, as a job may be
-            # known to wait only by the time that its binding is tried again.
-            return
-        team = self._teams.get(spec.team)
-        if draft.status != "open" or team is None or not self._membership.leads_job(spec):
-            return
-        old = [draft.task(index) for index in machines]
-        if any(task.machine or task.done for task in old):
-            return
-        if spec.kind == "gang" and any(draft.task(i).machine for i in range(spec.tasks)):
-            return
-        if not self._limit_allows(spec, team, len(machines), {(spec.id, i) for i in machines}):
-            return
-        if not self._zones_allow(draft, machines):
-            return
-        if not all(draft.require_machine(machine) for machine in set(machines.values())):
-            return
-        attempt = max(task.attempt for task in old) + 1
-        edits = {index: draft.edit(index) for index in machines}
-        if attempt > c.MAX_ATTEMPT or (spec.kind == "gang" and None in edits.values()):
-            return  # a gang is bound as a whole or not at all
-        for index, machine in machines.items():
-            task = edits[index]
-            if task is None:
-                continue
-            task.machine = machine
-            task.attempt = attempt if spec.kind == "gang" else task.attempt + 1
-            task.stop = ""
-
-    def _limit_allows(self, spec: r.JobSpec, team: Team, count: int, own: set[TaskId]) -> bool:
-        used = self._replica.usage().get(spec.team, (0.0, 0.0))
-        for key, (name, amount) in self._writing_amounts().items():
-            if name == spec.team and key not in own:
-                used = rules.add(used, amount)
-        return rules.within_limit(team, rules.add(used, (spec.cpus * count, spec.gpus * count)))
-
-    def _zones_allow(self, draft: Draft, machines: dict[int, str]) -> bool:
-        spec = draft.spec
-        there = [
-            draft.task(i).machine
-            for i in range(spec.tasks if spec.spread or spec.one_zone else 0)
-            if draft.task(i).machine
-        ]
-        used = rules.zones_used(there, self._replica.zone_of)
-        for machine in machines.values():
-            record = self._replica.machines.get(machine)
-            if record is None or (record.record.spot and not spec.spot):
-                return False
-            if spec.types is not None and record.record.type not in spec.types:
-                return False
-            if record.record.zone not in rules.zones_allowed(spec, used, self._zones):
-                return False
-            used[record.record.zone] += 1
-        return True
-
     def _bound(self, job_id: str, keys: list[TaskId], machines: dict[int, str]) -> None:
         job = self._replica.jobs.get(job_id)
         for key in keys:
