Counts a lease from no earlier than the machine's session: what was just started was lost at once

After a long silence a machine had begun a new session; the owner's last 200 was of the session before, so what an order had started was taken for lost by lease, bound again, at last elsewhere (docs/incidents/new-session.md). Change: a lease counts from when its session was first heard of, if that is later.

--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -69,6 +69,7 @@
     seq: int = 0
     seen_token: int = 0
     token_at: float = 0.0  # steady time at which a token of that epoch was first reported
+    session_at: float = -1e9  # steady time at which that session was first heard of
     notice_at: float | None = None  # steady time at which the cloud takes the machine
     heard_at: float | None = None  # steady time of the last report of any kind
     answered_at: float | None = None  # steady time of the last check-in answered with 200
@@ -94,6 +95,8 @@
         return False
     new_session = report.session > s.session
     s.session, s.seq = report.session, report.seq
+    if new_session:
+        s.session_at = now
     if report.token >> c.EPOCH_SHIFT != s.seen_token >> c.EPOCH_SHIFT or s.heard_at is None:
         s.token_at = now
     s.seen_token = report.token
@@ -222,11 +225,16 @@
 
     Only valid for an owner that itself answered: an earlier one may renew in a cut zone. And only
     from when the machine was known to hold our token: an earlier owner with an older picture had
-    renewed it after our first answer, which was lost (docs/incidents/older-owner.md).
+    renewed it after our first answer, which was lost (docs/incidents/older-owner.md). And only
+    from when its session was first heard of: a new one begins with a whole lease, and what was
+    started in it by an order was taken for lost at once (docs/incidents/new-session.md).
     """
     if s.answered_at is None or not s.trusted:
         return False
-    return now - max(s.answered_at, s.token_at) > lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
+    return (
+        now - max(s.answered_at, s.token_at, s.session_at)
+        > lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S
+    )
 
 
 @dataclass(slots=True)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -6,7 +6,8 @@
 
 from pulleydeal import constants as c
 from pulleydeal.frames import BadFrame
-from pulleydeal.workers.station import Station, lease_over
+from pulleydeal.workers.messages import Report
+from pulleydeal.workers.station import Station, absorb, lease_over
 from pulleydeal.zones import constants as z
 from pulleydeal.zones import decide
 from pulleydeal.zones.messages import Standing, pack, unpack
@@ -107,6 +108,19 @@
     assert lease_over(s, 32.0 + LEASE_S, LEASE_S)
 
 
+def test_a_new_session_begins_with_a_whole_lease() -> None:
+    """What an order had started in it was taken for lost by the answers to the session before."""
+    s = Station("vm-1", "t4", "east", False, 0.0, 7 << c.EPOCH_SHIFT, set())
+    for session, at in ((1, 10.0), (2, 100.0)):
+        report = Report(
+            "vm-1", "a:1", "t4", "east", False, session, 1, 7 << c.EPOCH_SHIFT, None, []
+        )
+        assert absorb(s, report, at, checkin=False)
+        s.answered_at = 10.0
+    assert not lease_over(s, 100.0 + LEASE_S, LEASE_S)
+    assert lease_over(s, 101.1 + LEASE_S, LEASE_S)
+
+
 def test_of_ones_own_zone_only_a_served_node_is_proof() -> None:
     k = decide.Contact("east", 0.0, -1e9)
     heard_each_half_second(k, 0.0, 100.0)
