--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -93,7 +93,9 @@
         puts |= {r.types_key(k): part for k, part in enumerate(parts[1:], 1)}
         old = {r.PREFIX + f"t/{name}" for name in self._replica.more_types}
         drops = sorted(old - set(puts))
-        await self._store.commit({r.VIEW: self._replica.view_version}, puts, drops)
+        # A copy that is carried out late must not bring back older types.
+        read = {r.CATALOG: self._replica.version(r.CATALOG)}
+        await self._store.commit({r.VIEW: self._replica.view_version} | read, puts, drops)
 
     # --- renting ----------------------------------------------------------------------------
     async def rent(self) -> None:
@@ -113,16 +115,19 @@
         missing = plan.missing(self._demand())
         names = []
         for (type_, zone, spot), count in missing.items():
-            self._serial += 1
-            name = f"{self._membership.me}-{self._membership.incarnation}-{self._serial}"
+            # The same name until it is answered: what was not, and is carried out late, is then the
+            # same rental and not one more.
+            name = f"{self._membership.me}-{self._membership.incarnation}-{self._serial + 1}"
             record = r.RentalRecord(
                 type_, zone, spot, min(count, self._most_rented), self._clock.wall()
             )
             # Durable before it is asked for: whoever leads next repeats it under this name.
-            if await self._store.commit(
+            ok = await self._store.commit(
                 {r.VIEW: self._replica.view_version, r.rental_key(name): 0},
                 {r.rental_key(name): record},
-            ):
+            )
+            self._serial += 1
+            if ok:
                 names.append(name)
         await asyncio.gather(*(self._ask(name) for name in names))
 
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -81,6 +81,10 @@
         """From the next load on, that feature's records are kept; they show in the result."""
         return self._features.setdefault(feature, {})
 
+    def version(self, key: str) -> int:
+        """The version that a commit which read this key is conditional on; 0: it is absent."""
+        return self._versions.get(key, 0)
+
     def listen(self, listener: Listener) -> None:
         self._listeners.append(listener)
 
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -199,7 +199,10 @@
         """Writes what is pending for a job, also what is added while it waits for its turn."""
         backoff = Backoff(self._rng)
         unsure = False
-        for _ in range(c.SCRATCH_TRIES):
+        tries = 0
+        # One that may still be applied is never given up: it would bind what nobody counts.
+        while unsure or tries < c.SCRATCH_TRIES:
+            tries += 1
             while True:
                 queued = self._pending.get(job_id, [])
                 await self.client.may_write(min(turn for _, turn, _ in [*batch, *queued]))
--- a/standins/state.py
+++ b/standins/state.py
@@ -27,6 +27,8 @@
         self.lose = 0.0  # share of commits whose answer is lost; half of those apply late
         self.repeat = 0.0  # share of commits of which a copy comes again later
         self.late = 0.0  # share of commits without an answer, carried out 2 to 12 s later
+        self.late_applied = 0  # so many of these succeeded
+        self.overtaken: list[str] = []  # keys that one of these wrote after a newer write
         self.slow_s = 0.0  # answers take up to so long
         self.watches_end = False  # of a node that gets 503, they end empty in their time
         self._value_b, self._ops = 8 * 1024, 32
@@ -141,7 +143,7 @@
     async def _commit(self, body: dict[str, Any]) -> Response:
         if self.late and self._rng.random() < self.late:
             loop = asyncio.get_running_loop()
-            loop.call_later(self._rng.uniform(2.0, 12.0), self._transact, body)
+            loop.call_later(self._rng.uniform(2.0, 12.0), self._too_late, body, self.ledger)
             await loop_forever()
         if self._rng.random() < self.lose:
             if self._rng.random() < 0.5:
@@ -155,6 +157,16 @@
             loop.call_later(self._rng.uniform(0.05, 8.0), self._transact, body)
         return self._transact(body)
 
+    def _too_late(self, body: dict[str, Any], ledger: int) -> None:
+        """A transaction that was held: nothing that was written since may be overwritten."""
+        keys = {change.get("set", change.get("drop")) for change in body.get("apply", [])}
+        since = {
+            e.get("set", e.get("drop")) for e in self._log if e["mark"] > ledger
+        }
+        if keys and self._transact(body).status == 200:
+            self.late_applied += 1
+            self.overtaken += sorted(keys & since)
+
     def _transact(self, body: dict[str, Any]) -> Response:
         if self.down:
             return answer(503, {"error": "outage"})
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -22,6 +22,7 @@
     assert scenario.rules.broken == []
     assert scenario.failures == []
     assert scenario.rules.starts > 0
+    assert scenario.state.overtaken == []  # no late transaction undoes a newer one
     assert scenario.state.too_large == []  # nothing was ever sent that the limits forbid
 
 
