Gives no work to machines that report but hear nothing, and what waits for them goes on

Cause: a machine counted as well because its reports came; runs to it were tried for ever, and after a change of owners nothing proved its tasks gone. Change: no credit while orders get no answer; starts that were never sent go elsewhere; a machine deaf for a lease after a take-over is given back, unless many are.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -84,6 +84,7 @@
 ZONE_SILENT_FEW = 2  # quiet machines of one zone that are never a cut
 ZONE_SILENT_SHARE = 0.5  # part of one's machines of a zone, quiet at once, that means a cut
 UNSEEN_KEEP_S = 120.0  # machines behind a cut are kept so long: cuts last under a minute
+UNREACHED_S = 4.0  # orders unanswered so long: what was never sent starts elsewhere; > one order
 LOOK_ROUND_S = 1.0  # all own machines are looked at so often, though nothing changed
 KILL_REPEAT_S = 2.0  # a kill not yet seen to work is sent again after this
 STOP_SLACK_S = 4.0  # seconds on top of stow_s between the last kill and a spot machine's end
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -172,8 +172,8 @@
             return None
         if not station.trusted or station.notice_at is not None:
             return None
-        if self._workers.silent(station):
-            return None
+        if self._workers.silent(station) or station.unanswered_since is not None:
+            return None  # one whose reports come but that hears nothing starts nothing
         room = Room(type_.cpus, type_.gpus, type_.memory)
         victims = []
         bound = self._replica.bound.get(station.id, {})
--- a/pulleydeal/workers/going.py
+++ b/pulleydeal/workers/going.py
@@ -21,6 +21,7 @@
 from pulleydeal.workers.station import (
     Blame,
     Station,
+    deaf_for_long,
     is_sick,
     out_of_sight,
     silent_for_long,
@@ -80,10 +81,12 @@
                 self._keeping.watched_over(),
             )
         }
+        deaf = set(deaf_for_long(stations, now, report_s, self._times.lease_s))
         for station in stations:
             if self._stations.get(station.id) is not station:
                 continue  # given up while an earlier one was being written
-            if silent_s(station, now) > c.PROBE_REPORTS * report_s:
+            quiet = silent_s(station, now) > c.PROBE_REPORTS * report_s
+            if quiet or station.unanswered_since is not None:
                 self._orders.probe(station)
             record = self._replica.machines.get(station.id)
             if record is not None and record.record.why == IDLE:
@@ -93,6 +96,9 @@
             # Asked again: it may have been heard while another's record was written.
             if station.id in silent and silent_s(station, now) > c.PROBE_REPORTS * report_s:
                 await self.mark(station.id, "silent")
+            elif station.id in deaf and station.unanswered_since is not None:
+                log.info("machine %s reports, but hears nothing", station.id)
+                await self.mark(station.id, "silent")
             elif is_sick(station, now, self._blame):
                 await self.mark(station.id, "sick")
             elif station.notice_at is not None:
--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -21,8 +21,15 @@
     """`token`: with which a machine is commanded; `take`: is given the reports that come back, with
     what was known when they were asked for."""
 
-    def __init__(self, clock: Clock, token: Callable[[Station], int], take: Take) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        token: Callable[[Station], int],
+        take: Take,
+        changed: Callable[[str], None],
+    ) -> None:
         self._clock = clock
+        self._changed = changed  # called with a machine that begins or ceases to answer
         self._token = token
         self._take = take
         self._clients: dict[str, Client] = {}
@@ -71,10 +78,16 @@
                 status, reply = await client.request("POST", "/orders", body, patience)
         except NoAnswer as error:
             log.debug("order to %s: %s", station.id, error)
+            if station.unanswered_since is None:
+                station.unanswered_since = self._clock.now()
+                self._changed(station.id)
             self._unsettle(station, runs, executed=error.sent)
             return
         finally:
             station.busy = False
+        if station.unanswered_since is not None:
+            station.unanswered_since = None
+            self._changed(station.id)
         for start in runs:
             if status == 200:
                 station.sent[start].direct = False
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -71,7 +71,7 @@
         self._epoch = 0  # the last view by which machines were taken and given up
         self.stations = stations
         self._keeping = keeping
-        self.orders = Orders(clock, self.token, self._answer_of_order)
+        self.orders = Orders(clock, self.token, self._answer_of_order, self._answers)
         self._exits: set[Start] = set()
         self._adopting = Adopting(store, clock)
         self._background = Background("a worker exchange failed")
@@ -129,11 +129,7 @@
         self._dirty.update(self.stations)
 
     def _drop(self, machine: str) -> None:
-        """Gives a machine up: another's now, or given back.
-
-        Those given back must not stay: they look silent, and asking them in vain held up the
-        orders to all others.
-        """
+        """Gives a machine up: another's now, or given back, which is asked in vain if it stays."""
         station = self.stations.pop(machine, None)
         if station is not None:
             self._index(machine, station.entries, {})
@@ -283,6 +279,9 @@
             for other in map(job.task, range(job.spec.tasks))
         )
 
+    def _answers(self, machine: str) -> None:
+        self.changed(machine)
+
     def _plan(self, station: Station) -> Plan:
         with self._lock:
             plan = reconcile(
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -80,6 +80,7 @@
     killed_at: dict[tuple[Start, bool], float] = field(default_factory=dict)
     errors: list[tuple[float, Start]] = field(default_factory=list)
     busy: bool = False  # a direct order is in flight
+    unanswered_since: float | None = None  # orders get no answer from then on; None: the last did
 
     @property
     def trusted(self) -> bool:
@@ -221,6 +222,31 @@
     return found
 
 
+def deaf_for_long(
+    stations: list[Station], now: float, report_s: float, lease_s: float
+) -> list[str]:
+    """Machines to be given back as they report, but no order reaches them.
+
+    Nothing lives on them, as no answer renews their leases; but after a change of owners they
+    never hold the token that would prove it, and their tasks were bound for as long as they heard
+    nothing. Many at once look like trouble of our own, which passes.
+    """
+    deaf = [
+        s
+        for s in stations
+        if s.unanswered_since is not None
+        and s.heard_at is not None
+        and silent_s(s, now) <= c.PROBE_REPORTS * report_s
+    ]
+    many = len(deaf) > max(c.SILENT_FEW, len(stations) * c.SILENT_SHARE)
+    over = lease_s * (1 + c.CLOCK_DRIFT) + c.LEASE_MARGIN_S + report_s
+    return [
+        s.id
+        for s in deaf
+        if now - (s.unanswered_since or now) > (c.UNSEEN_KEEP_S if many or s.trusted else over)
+    ]
+
+
 def lease_over(s: Station, now: float, lease_s: float) -> bool:
     """The worker must have killed everything: we alone could renew, and did not.
 
@@ -310,6 +336,9 @@
         plan.exits.append(Exit(job, index, attempt, s.id, "lost", want.task.stop or why))
     elif want.over or want.task.stop:
         plan.exits.append(Exit(job, index, attempt, s.id, "stopped", want.task.stop or want.over))
+    elif s.unanswered_since is not None and now - s.unanswered_since > c.UNREACHED_S:
+        # No command that carries this start was ever sent.
+        plan.exits.append(Exit(job, index, attempt, s.id, "lost", "its machine hears no order"))
     else:
         plan.calls.append(m.run(*start))
         plan.runs.append(start)
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -6,7 +6,15 @@
 
 from pulleydeal.store.records import JobSpec, Task
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.station import Sent, Start, Station, Wanted, absorb, reconcile
+from pulleydeal.workers.station import (
+    Sent,
+    Start,
+    Station,
+    Wanted,
+    absorb,
+    deaf_for_long,
+    reconcile,
+)
 
 LEASE_S = 14.0
 STATES = {"waiting": "gathering", "saving": "flushing"}
@@ -124,3 +132,31 @@
         if i + 1 == len(lines) or not lines[i + 1].startswith("own"):
             heard += replay.decisions()
     assert heard == lines
+
+
+def test_what_was_never_sent_to_a_machine_that_hears_nothing_starts_elsewhere() -> None:
+    """Runs were tried again for as long as it heard nothing, and their tasks waited for it."""
+    s = Station("m", "t4", "east", False, 0.0, 5, set())
+    s.heard_at, s.seen_token, s.unanswered_since = 10.0, 5, 10.0
+    wanted = {("j-1", 0): Wanted(Task("m", 1), SPEC)}
+    assert reconcile(s, wanted, 12.0, 14.0).runs == [("j-1", 0, 1)]
+    plan = reconcile(s, wanted, 15.0, 14.0)
+    assert plan.runs == [] and [gone.outcome for gone in plan.exits] == ["lost"]
+    s.sent[("j-1", 0, 1)] = Sent(1, 0, fence=9)  # one that may still come is waited for
+    assert reconcile(s, wanted, 15.0, 14.0).exits == []
+    s.sent.clear()
+    s.inherited = {("j-1", 0, 1)}  # or that an earlier owner may have sent: only a report tells
+    assert reconcile(s, wanted, 15.0, 14.0).exits[0].detail == "never came up"
+
+
+def test_machines_that_hear_nothing_are_given_back_few_at_a_time() -> None:
+    def deaf(name: str, trusted: bool) -> Station:
+        s = Station(name, "t4", "east", False, 0.0, 5, set())
+        s.heard_at, s.seen_token, s.unanswered_since = 99.0, 5 if trusted else 4, 80.0
+        return s
+
+    heard = [Station(f"h{i}", "t4", "east", False, 0.0, 5, set()) for i in range(9)]
+    one = [deaf("m-1", trusted=False), deaf("m-2", trusted=True)]
+    assert deaf_for_long([*heard, *one], 99.0, 3.0, 14.0) == ["m-1"]  # a token proves nothing yet
+    many = [deaf(f"m-{i}", trusted=False) for i in range(20)]
+    assert deaf_for_long([*heard, *many], 99.0, 3.0, 14.0) == []  # the fault may be our own
