--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -16,6 +16,7 @@
     "cron",
     "cronyear",
     "history",
+    "meetings",
     "overload",
     "restarts",
     "rollouts",
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -290,7 +290,9 @@
             await self._tell(job)
         if not self._is_final(job):
             return answer(503, {"error": "try again"}, c.RETRY_AFTER_S)
-        return answer(200, m.State(job_id, "cancelled" if job.is_cancelled else "done"))
+        told = "cancelled" if job.is_cancelled else "done"
+        log.info("job %s: its user hears %s", job_id, told, extra={"job": job_id})
+        return answer(200, m.State(job_id, told))
 
     def _cancel(self, draft: Draft) -> None:
         if draft.status == "open":
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -215,7 +215,9 @@
             self.lifts[lift] = Running(job, pull, "exited", "full")
             return
         fetch = 0.0 if job["tackle"] in self._images else job["pull_gb"] / 0.5
-        running = Running(job, pull, "fetching", left_s=job["_run_s"])
+        # `_each_s`: how much later each task ends than the one before.
+        later_s = int(lift.rpartition("/")[2]) * job.get("_each_s", 0.0)
+        running = Running(job, pull, "fetching", left_s=job["_run_s"] + later_s)
         running.ready_at = self._clock.now() + fetch
         self.lifts[lift] = running
         self._tick()
