--- a/experiments/meetings.py
+++ b/experiments/meetings.py
@@ -11,7 +11,7 @@
 from experiments.served import least_served, shares
 from standins.scenario import ZONES, play
 
-ABOUT = "three nodes; two or three of the operators' troubles at once, cancels just before or within"
+ABOUT = "three nodes; two or three of the meetings' troubles at once, cancels before and within"
 NODES = ("winch-0", "winch-1", "winch-2")
 MEETINGS = (45.0, 120.0)  # when two lots of troubles begin
 LOT_S = 60.0  # all of a lot are over by then
