--- a/experiments/meetings.py
+++ b/experiments/meetings.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from experiments.report import Report
-from experiments.served import least_served, shares
+from experiments.served import BEGIN_S, LEAST, largest, least_served, shares, worst_wait
 from standins.scenario import ZONES, play
 
 ABOUT = "three nodes; two or three of the meetings' troubles at once, cancels before and within"
@@ -113,6 +113,7 @@
         "failures": played.failures,
         "starts": rules.starts,
         "cancels": len(told),
+        "wait": worst_wait(rules.accepted_at, rules.changes, largest(accepted)),
         "served": shares(accepted, ended, set(rules._cancelled)),
         "open": [
             job
@@ -135,6 +136,7 @@
             "starts": sum(r["starts"] for r in found),
             "cancelled in troubles": sum(r["cancels"] for r in found),
             "least served": min(least_served(r["served"]) for r in found),
+            "largest waited s": round(max(r["wait"] for r in found)),
         }
     ]
     for r in found:
@@ -144,5 +146,8 @@
             report.notes.append(f"seed {r['seed']}: not done at the end: {r['open']}")
     report.bound("no rule broken", not any(r["broken"] or r["failures"] for r in found))
     report.bound("all jobs done and all services up at the end", not any(r["open"] for r in found))
+    served = all(least_served(r["served"]) >= LEAST for r in found)
+    report.bound("half of each class, team and class's largest jobs served", served)
+    report.bound("the largest begin in time", all(r["wait"] <= BEGIN_S for r in found))
     report.bound("cancellations were confirmed in the troubles", sum(r["cancels"] for r in found))
     return report
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -17,6 +17,7 @@
         self.changes: list[tuple[float, str, int]] = []  # when a task of which job came or went
         self.usage: dict[str, list[float]] = {}  # team -> accelerators in use, at each change
         self._told: dict[str, str] = {}
+        self.accepted_at: dict[str, float] = {}  # when its user first heard of it
         self._cancelled: dict[str, float] = {}
 
     def _break(self, rule: str, text: str) -> None:
@@ -116,6 +117,7 @@
         if state in ("queued", "running") and before is not None and self._orphan(job):
             self._break("orphaned", f"{job} is {state}")
         self._told[job] = state
+        self.accepted_at.setdefault(job, self._now())
         if before is None and self._needs_cancelled(job):
             # Submitted after the cancellation was told: its own time begins with its acceptance.
             self._cancelled.setdefault(job, self._now())
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -9,11 +9,12 @@
 import pytest
 from rich.console import Console
 
-from experiments import served, zoneloss
+from experiments import first_meeting, meetings, served, zoneloss
 from experiments.load import Result, play
 from experiments.report import Plot, Report, show, write
 from standins.demo import main as demo
-from standins.scenario import LoopClock, virtually
+from standins.scenario import LoopClock, ScenarioError, virtually
+from standins.scenario import play as play_scenario
 from standins.state import StateService
 from standins.town import Town, TownError
 
@@ -130,3 +131,48 @@
     assert report.rows[0]["a"] == pytest.approx(4 / 9) and report.rows[0]["least"] == "a"
     assert not report.held and "a is served 0.44" in report.notes[0]
     assert not served.read(tmp_path / "none").held
+
+
+def test_the_largest_jobs_of_a_class_count_by_themselves_and_how_long_they_waited() -> None:
+    def body(lifts: int) -> dict[str, object]:
+        return {"rig": "a", "crew": "t", "haul": "batch", "lifts": lifts, "accelerators": 1.0}
+
+    jobs = {"j-1": body(10), "j-2": body(9), "j-3": body(1), "j-4": body(1)}
+    ended = {"j-1": True, "j-2": False, "j-3": True, "j-4": True}
+    assert served.largest(jobs) == {"j-1", "j-2"}
+    assert served.shares(jobs, ended, set()) == {"class a": 0.75, "team t": 0.75, "largest a": 0.5}
+    changes = [(5.0, "j-1", 1), (7.0, "j-1", 1), (40.0, "j-2", 1), (90.0, "j-3", 1)]
+    accepted = {"j-1": 1.0, "j-2": 10.0, "j-3": 2.0}
+    assert served.worst_wait(accepted, changes, {"j-1", "j-2"}) == 30.0
+
+
+def test_an_event_that_is_none_is_named_with_its_place(tmp_path: Path) -> None:
+    path = tmp_path / "day.txt"
+    for line in ("5 fly winch-0", "soon crash winch-0", "5 crash winch-9", "5 state sideways"):
+        path.write_text(f"1 submit j-1 batch 1 5\n{line}\n")
+        with pytest.raises(ScenarioError, match=f"line 2: '{line}"):
+            play_scenario(path, 1)
+
+
+def test_the_first_meetings_site_has_long_work_and_many_cancels(tmp_path: Path) -> None:
+    text = "[[jobs]]\nkind = \"service\"\narrivals = { rate = 0.07 }\nrun_s = { median = 500.0 }\n"
+    text += "[[jobs]]\nkind = \"gang\"\nrun_s = { median = 9.0 }\ncancelled = 0.0\ninitial = 8\n"
+    found = first_meeting.derived(text)
+    assert "rate = 1.0000" in found and "median = 60.0" in found and "median = 2000.0" in found
+    assert "cancelled = 0.7" in found and "initial = 4" in found
+    log = [
+        "  10.0 winch-0 INFO x: job j-1: its user hears cancelled",
+        "  12.5 winch-0 INFO x: task j-1/0 attempt 1 on vm-1 ended: stopped (cancelled)",
+        "  30.0 winch-0 INFO x: job j-2: its user hears cancelled",
+    ]
+    assert first_meeting.counts(log, 5.0, 20.0) == {
+        "confirmed": 1,
+        "last task seen gone after s": 2.5,
+    }
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_drawn_meetings_break_no_rule(seed: int) -> None:
+    found = meetings.one(seed)
+    assert found["broken"] == [] and found["failures"] == [] and found["open"] == []
+    assert found["cancels"] > 0
