--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -216,9 +216,12 @@
 
         When its copy was current or the others were asked counts, not when they answered.
         """
-        knows_at = max(self._store.current_at, self._membership.vouched_at())
-        fresh = vouching.may_renew(knows_at, self._blind_limit_s, self._clock.now())
-        return fresh or self._keeping.bears_blindness(zone)
+        limit_s, now = self._blind_limit_s, self._clock.now()
+        return (
+            vouching.may_renew(self._store.current_at, limit_s, now)
+            or vouching.may_renew(self._membership.vouched_at(), limit_s, now)
+            or self._keeping.bears_blindness(zone)
+        )
 
     def _take(self, station: Station, report: m.Report, checkin: bool) -> None:
         now = self._clock.now()
