--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -71,7 +71,7 @@
         self._epoch = 0  # the last view by which machines were taken and given up
         self.stations = stations
         self._keeping = keeping
-        self.orders = Orders(clock, self.token, self._answer_of_order, self._answers)
+        self.orders = Orders(clock, self.token, self._answer_of_order, lambda m: self.changed(m))
         self._exits: set[Start] = set()
         self._adopting = Adopting(store, clock)
         self._background = Background("a worker exchange failed")
@@ -282,9 +282,6 @@
             for other in map(job.task, range(job.spec.tasks))
         )
 
-    def _answers(self, machine: str) -> None:
-        self.changed(machine)
-
     def _plan(self, station: Station) -> Plan:
         with self._lock:
             plan = reconcile(
