--- a/tests/test_untold.py
+++ b/tests/test_untold.py
@@ -212,3 +212,17 @@
     view = json.loads(msgspec.json.encode(r.View(3, {"a": "1"}, [], [("a", "east")])))
     view.pop("deaf")
     assert r.VIEW_DECODER.decode(json.dumps(view).encode()).deaf == []
+
+
+def test_who_joined_unseen_tells_a_cancellation_only_on_proof() -> None:
+    """Two blind nodes that don't know it as a member vouch for each other without its word."""
+    node = Node(Keeping())
+    node.known = False
+    node.bind()
+    node.watch()
+    assert node.cancel() == 503
+    assert [p[r.job_key("j-1")].untold for p in node.writes] == [True]
+    assert node.cancel() == 503 and node.show()[0] == 503  # nobody says that it runs, either
+    node.put({r.chunk_key("j-1", 0): [r.Task("", 1, why="g"), r.Task()]})
+    node.watch()
+    assert node.cancel() == 200
--- a/tests/test_vouching.py
+++ b/tests/test_vouching.py
@@ -100,3 +100,9 @@
     assert way[-1].startswith("broken: ran_cancelled")
     assert blind_owner.follow_without(guard, way).startswith("ran_cancelled")
     assert blind_owner.follow(way) == ""  # with the guard it can't be gone, or breaks nothing
+
+
+def test_a_member_is_known_once_every_other_node_has_shown_such_a_view() -> None:
+    assert vouching.known_as_member(8, {"winch-0": 8, "winch-2": 9}, ["winch-0", "winch-2"])
+    assert not vouching.known_as_member(8, {"winch-0": 8, "winch-2": 7}, ["winch-0", "winch-2"])
+    assert not vouching.known_as_member(8, {"winch-0": 8}, ["winch-0", "winch-2"])
