--- a/experiments/served.py
+++ b/experiments/served.py
@@ -38,10 +38,7 @@
 
 def largest(uploads: dict[str, dict[str, Any]]) -> set[str]:
     """The jobs of each class that take about as much as its largest one."""
-    size = {
-        job: body.get("lifts", 1) * max(1.0, body.get("accelerators", 0.0))
-        for job, body in uploads.items()
-    }
+    size = {job: body["lifts"] * max(1.0, body["accelerators"]) for job, body in uploads.items()}
     most: dict[str, float] = defaultdict(float)
     for job, body in uploads.items():
         most[body["rig"]] = max(most[body["rig"]], size[job])
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -120,9 +120,12 @@
         for i in range(8)
     }
     uploads["j-8"] = {"rig": "s", "crew": "z", "haul": "standing"}
+    for job, body in uploads.items():
+        body |= {"lifts": 10 if job in ("j-1", "j-6") else 1, "accelerators": 1.0}
     ended = {job: job in ("j-1", "j-3", "j-5", "j-7") for job in uploads}
     found = served.shares(uploads, ended, cancelled={"j-0"})
-    assert found == {"class a": 2 / 3, "class b": 0.5, "team x": 1.0, "team y": 0.0}
+    largest = {"largest a": 1.0, "largest b": 0.0}
+    assert found == {"class a": 2 / 3, "class b": 0.5, "team x": 1.0, "team y": 0.0} | largest
     assert served.least_served(found) == 0.0
     day = {"classes": {"s": {"jobs": 3, "started": 3, "done": 0, "up": 0.9, "cancelled": 1}}}
     day["classes"]["a"] = {"jobs": 10, "started": 9, "done": 4, "cancelled": 1}
