--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -133,3 +133,28 @@
     service = asyncio.run(day())
     assert len(service.held) == 1
     assert not service.apply(*service.held[0])
+
+
+def test_what_is_not_wanted_any_more_moves_the_mark_of_what_may_still_be_applied() -> None:
+    """A limit was reached meanwhile: the second look binds nothing, and the first may come late."""
+    looks: list[int] = []
+
+    async def day() -> Service:
+        service = Service()
+        node = store(service)
+        record = msgspec.Raw(msgspec.json.encode(r.JobRecord("open", 2, 0.0, SPEC)))
+        service.apply({}, [m.put(r.job_key("j-1"), record, None)])
+        node.replica.apply(m.Changes(1, [m.Event(1, r.job_key("j-1"), None, record)]))
+
+        def bind_once(draft: Draft) -> None:
+            if not looks:
+                bind(draft)
+            looks.append(1)
+
+        service.answers = ["lost"]
+        assert await node.change_job("j-1", bind_once, Turn.WORK)
+        return service
+
+    service = asyncio.run(day())
+    assert len(looks) == 2 and len(service.held) == 1
+    assert not service.apply(*service.held[0])
