--- a/experiments/rolloutseeds.py
+++ b/experiments/rolloutseeds.py
@@ -10,7 +10,8 @@
 
 from experiments.load import histogram, note, quantile_ms
 from experiments.report import Report
-from standins.scenario import ZONES, Scenario, play
+from standins.place import ZONES
+from standins.scenario import Scenario, play
 
 ABOUT = "three nodes, six copies, a new version that is good or bad, two to four troubles a seed"
 ROLL_S, END_S = 75.0, 480.0
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,7 +6,7 @@
 from pulleydeal import constants as c
 from pulleydeal.store.rate import Rate, Turn, Turnstile
 from pulleydeal.submissions.admission import Admission
-from standins.scenario import LoopClock, virtually
+from standins.script import LoopClock, virtually
 
 
 def test_there_is_time_until_the_queue_is_as_long_as_users_wait() -> None:
--- a/tests/test_rate.py
+++ b/tests/test_rate.py
@@ -8,7 +8,7 @@
 from pulleydeal.settings import NextLimits, StateLimits
 from pulleydeal.store.client import StateClient
 from pulleydeal.store.rate import Rate, Turn, Turnstile
-from standins.scenario import LoopClock, virtually
+from standins.script import LoopClock, virtually
 
 
 def test_a_large_write_has_its_turn_among_many_small_ones() -> None:
