A rental whose write lost only its answer takes its name with it

Cause: the next rental had the same name, for which the cloud answers as before and rents nothing. Change: a name counts as used once its record was seen, and once the view moved; machine types get a module of their own.

--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -13,6 +13,7 @@
 from pulleydeal.features.switch import keeping, switched_on
 from pulleydeal.fleet.cloud import Cloud
 from pulleydeal.fleet.service import Fleet
+from pulleydeal.fleet.types import Types
 from pulleydeal.http import Request, Response, Server, answer
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
@@ -94,6 +95,7 @@
             policy,
         )
         cloud = Cloud(settings.endpoints.cloud, clock, deployment.cloud.rps)
+        self.types = Types(self.membership, self.store, cloud, clock)
         self.fleet = Fleet(
             self.membership,
             self.store,
@@ -183,7 +185,7 @@
             "machines": self.going.tend,
             "credits": self.credits.work,
             "placement": self.placement.work,
-            "catalogue": self.fleet.catalog,
+            "catalogue": self.types.catalog,
             "rent": self.fleet.rent,
             "return": self.fleet.give_back,
             "list": self.fleet.listing,
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -63,39 +63,21 @@
         self._serial = 0
         self._refused: dict[plan.Kind, float] = {}
         self._idle_since: dict[str, float] = {}
-        self._priced_at = -1e9
         self._looked_at = -1e9  # when unneeded machines were last looked for
         self._wake = asyncio.Event()
-        store.replica.listen(lambda kind, _: self._wake.set() if kind == "job" else None)
+        store.replica.listen(self._on_change)
 
-    # --- machine types ----------------------------------------------------------------------
-    async def catalog(self) -> None:
-        """One round: the lead keeps the types (and prices) in the state service."""
-        await asyncio.sleep(0.1)
-        old = self._clock.now() - self._priced_at > c.CATALOG_EVERY_S
-        if not self._membership.leads_fleet() or not (old or not self._replica.types):
-            return
-        try:
-            catalog = r.Catalog(await self._cloud.catalog())
-        except (CloudTrouble, NoCapacity) as error:
-            log.info("no catalogue from the cloud: %s", error)
-            # With types known only prices are missing: leave the calls to rentals and returns.
-            await asyncio.sleep(c.CATALOG_RETRY_S if self._replica.types else c.LOOP_PAUSE_S)
-            return
-        if {t.name: t for t in catalog.types} != self._replica.types:
-            await self._record_types(catalog)
-        self._priced_at = self._clock.now()
+    def _on_change(self, kind: str, name: str) -> None:
+        if kind == "job":
+            self._wake.set()
+        elif kind == "view" or (kind == "rental" and name == self._next_name()):
+            # A rental's name is used once: when its write was seen, though its answer was lost
+            # (the cloud answers a known name as before, and rents nothing), and when the view
+            # moved, under which alone it could still be carried out.
+            self._serial += 1
 
-    async def _record_types(self, catalog: r.Catalog) -> None:
-        """As many values as it takes; an older version sees the types that fit into the first."""
-        parts = plan.split_catalog(catalog, self._store.limits)
-        puts: dict[str, object] = {r.CATALOG: parts[0]}
-        puts |= {r.types_key(k): part for k, part in enumerate(parts[1:], 1)}
-        old = {r.PREFIX + f"t/{name}" for name in self._replica.more_types}
-        drops = sorted(old - set(puts))
-        # A copy that is carried out late must not bring back older types.
-        read = {r.CATALOG: self._replica.version(r.CATALOG)}
-        await self._store.commit({r.VIEW: self._replica.view_version} | read, puts, drops)
+    def _next_name(self) -> str:
+        return f"{self._membership.me}-{self._membership.incarnation}-{self._serial + 1}"
 
     # --- renting ----------------------------------------------------------------------------
     async def rent(self) -> None:
@@ -117,7 +99,7 @@
         for (type_, zone, spot), count in missing.items():
             # The same name until it is answered: what was not, and is carried out late, is then the
             # same rental and not one more.
-            name = f"{self._membership.me}-{self._membership.incarnation}-{self._serial + 1}"
+            name = self._next_name()
             record = r.RentalRecord(
                 type_, zone, spot, min(count, self._most_rented), self._clock.wall()
             )
@@ -126,7 +108,6 @@
                 {r.VIEW: self._replica.view_version, r.rental_key(name): 0},
                 {r.rental_key(name): record},
             )
-            self._serial += 1
             if ok:
                 names.append(name)
         await asyncio.gather(*(self._ask(name) for name in names))
