Machines that only answer get no work; a cancellation not told yet leaves polls answered

Also: an acceptance tells what became of the job meanwhile; a report of a machine without a record counts only with a token that it was not given before; a machine of which an old report came first at a takeover is asked all the same. What an owner hears nothing of: workers/sight.py. Tests seen to fail before.

--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -167,7 +167,8 @@
                     f", waits on {' '.join(spec.waits_on[:5])}" if spec.waits_on else "",
                     extra={"job": spec.id},
                 )
-                return answer(201, m.State(spec.id, "queued"))
+                # As it stands now: it may have been called off elsewhere before this was answered.
+                return answer(201, self._state(self._replica.jobs[spec.id]))
             if spec.id in self._replica.jobs:
                 return await self.show(spec.id)
         return answer(503, {"error": "the view keeps changing"}, c.RETRY_AFTER_S)
@@ -230,7 +231,10 @@
             return answer(404, {"error": "no such job"})
         if self._held_back(job) and self._keeping.may_tell(job):
             await self._tell(job)
-        if self._held_back(job) and not self._keeping.says_running():
+            job = self._replica.jobs.get(job_id, job)  # all may have been read anew meanwhile
+        # One of an older version would tell a cancellation at once. Else nobody does before its
+        # tasks are proved gone, which may take longer than a job may go without an answer.
+        if self._held_back(job) and not self._membership.all_keep(c.FORMAT_VOUCHES):
             return answer(503, {"error": "its cancellation is under way"}, c.RETRY_AFTER_S)
         return answer(200, self._state(job))
 
--- a/pulleydeal/workers/going.py
+++ b/pulleydeal/workers/going.py
@@ -18,15 +18,13 @@
 from pulleydeal.workers.changes import apply_stop
 from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.orders import Orders
-from pulleydeal.workers.station import (
-    Blame,
-    Station,
-    deaf_for_long,
-    is_sick,
+from pulleydeal.workers.sight import (
+    one_way_for_long,
     out_of_sight,
     silent_for_long,
     silent_s,
 )
+from pulleydeal.workers.station import Blame, Station, is_sick
 
 log = logging.getLogger("pulleydeal.workers")
 IDLE = "idle"  # why a machine goes that nothing needs
@@ -81,7 +79,7 @@
                 self._keeping.watched_over(),
             )
         }
-        deaf = set(deaf_for_long(stations, now, report_s, self._times.lease_s))
+        one_way = set(one_way_for_long(stations, now, report_s, self._times.lease_s))
         for station in stations:
             if self._stations.get(station.id) is not station:
                 continue  # given up while an earlier one was being written
@@ -96,8 +94,8 @@
             # Asked again: it may have been heard while another's record was written.
             if station.id in silent and silent_s(station, now) > c.PROBE_REPORTS * report_s:
                 await self.mark(station.id, "silent")
-            elif station.id in deaf and station.unanswered_since is not None:
-                log.info("machine %s reports, but hears nothing", station.id)
+            elif station.id in one_way and (station.unanswered_since or station.mute_since):
+                log.info("machine %s reports or hears, but not both", station.id)
                 await self.mark(station.id, "silent")
             elif is_sick(station, now, self._blame):
                 await self.mark(station.id, "sick")
--- a/pulleydeal/workers/keeping.py
+++ b/pulleydeal/workers/keeping.py
@@ -6,7 +6,8 @@
 
 from pulleydeal.store.job import Job
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.station import Seen, Station
+from pulleydeal.workers.sight import Seen
+from pulleydeal.workers.station import Station
 
 # Why machines out of sight are given back, with all that is on them.
 UNTOLD = "kept a cancelled job"
@@ -48,10 +49,6 @@
         """The same, after a moment in which the other nodes may answer."""
         return False
 
-    def says_running(self) -> bool:
-        """Whether such a job is shown as it runs until then: nobody may tell it otherwise."""
-        return False
-
     def owed(self) -> dict[str, str]:
         """Machines out of sight that are to be given back, each with the reason."""
         return {}
--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -78,6 +78,7 @@
                 status, reply = await client.request("POST", "/orders", body, patience)
         except NoAnswer as error:
             log.debug("order to %s: %s", station.id, error)
+            station.mute_since = None
             if station.unanswered_since is None:
                 station.unanswered_since = self._clock.now()
                 self._changed(station.id)
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -29,6 +29,7 @@
 from pulleydeal.workers.changes import apply_exit
 from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.orders import Orders
+from pulleydeal.workers.sight import silent_s, unsignalled_s
 from pulleydeal.workers.station import (
     Entry,
     Exit,
@@ -40,7 +41,6 @@
     Wanted,
     absorb,
     reconcile,
-    silent_s,
 )
 
 log = logging.getLogger("pulleydeal.workers")
@@ -143,6 +143,16 @@
         self.stations[machine] = station
         return station
 
+    def _first_heard(self, report: m.Report, fence: int) -> Station:
+        """Of a machine without a record an old report may come, minutes after it was given back:
+        only a token that it was not given before proves that it is there (`fence`)."""
+        token, now = views.token(self._membership.epoch, fence), self._clock.now()
+        kind = (report.type, report.zone, report.spot)
+        with self._lock:
+            station = self._station(report.machine, *kind, token, now)
+        station.fence = fence
+        return station
+
     def _bound(self, machine: str) -> set[Start]:
         """What an earlier owner, or an earlier life of the machine, may have started."""
         bound = self._replica.bound.get(machine, {})
@@ -153,7 +163,7 @@
 
     def silent(self, station: Station) -> bool:
         limit = c.SILENT_REPORTS * self._times.report_s
-        return silent_s(station, self._clock.now()) > limit
+        return unsignalled_s(station, self._clock.now()) > limit
 
     def oldest_report_s(self) -> float:
         now = self._clock.now()
@@ -179,16 +189,7 @@
             return answer(503, {"error": "machine was given back"}, c.RETRY_AFTER_S)
         station = self.stations.get(report.machine)
         if station is None:
-            token = views.token(self._membership.epoch, 0)
-            with self._lock:
-                station = self._station(
-                    report.machine,
-                    report.type,
-                    report.zone,
-                    report.spot,
-                    token,
-                    self._clock.now(),
-                )
+            station = self._first_heard(report, fence=int(record is None))
         if report.token > self.token(station):
             # Somebody newer commands this machine: our view is old, or will soon be.
             return answer(421, m.redirect(""))
@@ -363,9 +364,8 @@
         if not self._membership.is_member:
             return
         if not station.trusted:
-            # After a takeover: raise the token and get a report, without waiting to be found.
-            if station.heard_at is None:
-                self.orders.probe(station)
+            # After a takeover, also if an old report came: raise the token and get a new one.
+            self.orders.probe(station)
             return
         if not station.addr or silent_s(station, self._clock.now()) > self._times.lease_s:
             self._plan(station)
--- a/pulleydeal/zones/service.py
+++ b/pulleydeal/zones/service.py
@@ -12,7 +12,8 @@
 from pulleydeal.store.job import Job
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.keeping import Keeping
-from pulleydeal.workers.station import Seen, Station, seen
+from pulleydeal.workers.sight import Seen, seen
+from pulleydeal.workers.station import Station
 from pulleydeal.zones import constants as z
 from pulleydeal.zones import decide, losses
 from pulleydeal.zones.hearing import Hearing
@@ -210,10 +211,6 @@
     def holds_back(self) -> bool:
         return True
 
-    def says_running(self) -> bool:
-        # One that is not on would tell a cancellation at once.
-        return self._all_on()
-
     def may_tell(self, job: Job) -> bool:
         if not self._membership.known_as_member():
             return False
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -1,12 +1,17 @@
 """Who is given back for its silence: single dead machines soon, a cut zone's not."""
 
+import msgspec
+
 from pulleydeal import constants as c
-from pulleydeal.workers.station import (
-    Station,
+from pulleydeal.workers import messages as m
+from pulleydeal.workers.sight import (
+    one_way_for_long,
     out_of_sight,
     silent_for_long,
     unseen_zones,
+    unsignalled_s,
 )
+from pulleydeal.workers.station import Station, absorb
 
 REPORT_S, LEASE_S = 3.0, 14.0
 SOON = c.SILENT_RETURN_REPORTS * REPORT_S
@@ -76,3 +81,31 @@
     assert out_of_sight([], 100.0, REPORT_S, cut) == {"east"}
     assert out_of_sight([], 100.0, REPORT_S, [{"east": (9, 10)}]) == set()
     assert out_of_sight([], 100.0, REPORT_S) == set()
+
+
+def test_machines_that_answer_but_reach_nobody_are_given_back_few_at_a_time() -> None:
+    """What is started there is lost with their lease, again and again."""
+
+    def report(tally: int) -> m.Report:
+        raw = {
+            "block": "m", "addr": "10.1.0.1:9000", "rig_model": "t4", "yard": "east",
+            "loaners": False, "shift": 1, "tally": tally, "whistle": 5, "lifts": [],
+        }  # fmt: skip
+        return msgspec.convert(raw, m.Report)
+
+    def heard(name: str, *ways: tuple[float, bool]) -> Station:
+        s = Station(name, "t4", "east", False, 0.0, 5, set())
+        for tally, (at, checkin) in enumerate(ways, 1):
+            absorb(s, report(tally), at, checkin)
+        return s
+
+    others = [heard(f"h{i}", (60.0, True), (90.0, False), (98.0, True)) for i in range(9)]
+    mute = heard("m-1", (70.0, True), (75.0, False), (98.0, False))
+    assert unsignalled_s(mute, 99.0) == 29.0
+    back = heard("m-2", (40.0, True), (97.0, False))  # it was cut off, and answers first
+    fresh = heard("m-3", (81.0, True), (85.0, False))  # its lease may not be over
+    assert one_way_for_long([*others, mute, back, fresh], 99.0, 3.0, 14.0) == ["m-1"]
+    several = [heard(f"m-{i}", (70.0, True), (75.0, False)) for i in range(c.SILENT_FEW + 1)]
+    assert one_way_for_long([*others, *several], 99.0, 3.0, 14.0) == []  # they may speak again
+    late = 75.0 + c.UNSEEN_KEEP_S + 1
+    assert len(one_way_for_long([*others, *several], late, 3.0, 14.0)) == len(several)
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -6,15 +6,8 @@
 
 from pulleydeal.store.records import JobSpec, Task
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.station import (
-    Sent,
-    Start,
-    Station,
-    Wanted,
-    absorb,
-    deaf_for_long,
-    reconcile,
-)
+from pulleydeal.workers.sight import one_way_for_long
+from pulleydeal.workers.station import Sent, Start, Station, Wanted, absorb, reconcile
 
 LEASE_S = 14.0
 STATES = {"waiting": "gathering", "saving": "flushing"}
@@ -157,6 +150,7 @@
 
     heard = [Station(f"h{i}", "t4", "east", False, 0.0, 5, set()) for i in range(9)]
     one = [deaf("m-1", trusted=False), deaf("m-2", trusted=True)]
-    assert deaf_for_long([*heard, *one], 99.0, 3.0, 14.0) == ["m-1"]  # a token proves nothing yet
+    found = one_way_for_long([*heard, *one], 99.0, 3.0, 14.0)
+    assert found == ["m-1"]  # a token proves nothing yet
     many = [deaf(f"m-{i}", trusted=False) for i in range(20)]
-    assert deaf_for_long([*heard, *many], 99.0, 3.0, 14.0) == []  # the fault may be our own
+    assert one_way_for_long([*heard, *many], 99.0, 3.0, 14.0) == []  # the fault may be our own
--- a/tests/test_untold.py
+++ b/tests/test_untold.py
@@ -29,7 +29,6 @@
 
     def __init__(self) -> None:
         self.acked = False
-        self.all_on = True
 
     def holds_back(self) -> bool:
         return True
@@ -40,9 +39,6 @@
     async def comes_to_be_told(self, job: Job) -> bool:
         return self.acked
 
-    def says_running(self) -> bool:
-        return self.all_on
-
 
 class Node:
     """Membership, store and clock in one. The watch brings a write when `watch` is called."""
@@ -50,6 +46,10 @@
     is_member = True
     epoch = 1
     known = True
+    an_older_serves = False
+
+    def all_keep(self, format_: int) -> bool:
+        return not self.an_older_serves
 
     def known_as_member(self) -> bool:
         return self.known
@@ -152,9 +152,8 @@
 
 
 def test_where_a_node_would_tell_it_at_once_nobody_says_that_it_runs() -> None:
-    inside = Inside()
-    inside.all_on = False
-    node = Node(inside)
+    node = Node(Inside())
+    node.an_older_serves = True
     node.bind()
     node.watch()
     assert node.cancel() == 503
@@ -222,7 +221,102 @@
     node.watch()
     assert node.cancel() == 503
     assert [p[r.job_key("j-1")].untold for p in node.writes] == [True]
-    assert node.cancel() == 503 and node.show()[0] == 503  # nobody says that it runs, either
+    assert node.cancel() == 503
+    # Told nothing for as long as that may take, its user would take it for forgotten.
+    assert node.show() == (200, "running")
+    node.an_older_serves = True  # that one would tell it at once
+    assert node.show()[0] == 503
     node.put({r.chunk_key("j-1", 0): [r.Task("", 1, why="g"), r.Task()]})
     node.watch()
     assert node.cancel() == 200
+
+
+class Slow(Node):
+    """The state service's answer takes so long that `meanwhile` happens before it comes."""
+
+    meanwhile: Callable[["Slow"], None]
+    limits = Limits(2_000, 8)
+
+    async def commit(
+        self, conditions: dict[str, int], puts: dict[str, Any], *_: object
+    ) -> bool:
+        self.put(puts)
+        at = self.revision
+        self.meanwhile(self)
+        self.replica.committed({k: msgspec.json.encode(v) for k, v in puts.items()}, [], at)
+        return True
+
+    def change_job(
+        self, job: str, mutate: Callable[[Draft], None], turn: Turn
+    ) -> "asyncio.Future[bool]":
+        self.meanwhile(self)
+        return super().change_job(job, mutate, turn)
+
+
+def submission(job: str) -> bytes:
+    body = {
+        "name_id": job,
+        "rig": "c",
+        "crew": "core",
+        "haul": "batch",
+        "urgency": "low",
+        "lifts": 1,
+        "vcpus": 1.0,
+        "accelerators": 0.0,
+        "ram_gb": 1.0,
+        "tackle": "img",
+        "pull_gb": 1.0,
+        "same_place": False,
+        "spread": False,
+        "loaners": True,
+        "haul_s": 1.0,
+        "belay_s": 0.0,
+        "stow_s": 0.0,
+    }
+    return msgspec.json.encode(body)
+
+
+def test_an_acceptance_whose_answer_was_slow_tells_what_became_of_the_job_meanwhile() -> None:
+    """Its user had repeated it elsewhere, and called it off there."""
+
+    def called_off(node: Slow) -> None:
+        slim = r.JobRecord("cancelled", 1, 1.0, None, 2.0)
+        node.put({r.job_key("j-2"): slim})
+        node.watch()
+
+    node = Slow(Keeping())
+    node.meanwhile = called_off
+
+    async def submit() -> Response:
+        return await node.users.submit(submission("j-2"))
+
+    reply = asyncio.run(submit())
+    assert (reply.status, json.loads(reply.body)["tension"]) == (201, "cancelled")
+
+
+def test_what_is_told_after_a_write_is_of_the_copy_as_it_is_then() -> None:
+    """All was read anew while the write was under way: what was found before is kept no more."""
+    inside = Inside()
+    node = Slow(inside)
+    node.meanwhile = lambda _: None
+    node.bind()
+    node.watch()
+    assert node.cancel() == 503
+    inside.acked = True
+
+    def read_anew(node: Slow) -> None:
+        records = {
+            r.job_key("j-1"): r.JobRecord("cancelled", 2, 1.0, SPEC, 5.0),
+            r.chunk_key("j-1", 0): [r.Task("vm-1", 1), r.Task()],
+        }
+        node.replica.begin_load()
+        node.replica.load(
+            [
+                m.Entry(key, msgspec.Raw(msgspec.json.encode(x)), node.revision)
+                for key, x in records.items()
+            ]
+        )
+        node.replica.end_load(node.revision)
+
+    node.meanwhile = read_anew
+    assert node.show() == (200, "cancelled")
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -57,7 +57,7 @@
     return Workers(world, world, times, world, Metrics(), {}, Keeping())
 
 
-def report(machine: str, tally: int, *lifts: str) -> Request:
+def report(machine: str, tally: int, *lifts: str, token: int = 3 << 24) -> Request:
     body = {
         "block": machine,
         "addr": "10.1.0.1:9000",
@@ -66,7 +66,7 @@
         "loaners": False,
         "shift": 1,
         "tally": tally,
-        "whistle": 3 << 24,
+        "whistle": token,
         "lifts": [{"lift": lift, "pull": 1, "tension": "running"} for lift in lifts],
     }
     return Request("POST", "/checkin", msgspec.json.encode(body))
@@ -160,3 +160,33 @@
     assert asyncio.run(ask()) == 503
     world.current_at = -15.0
     assert asyncio.run(ask()) == 200
+
+
+def test_a_report_of_a_machine_without_a_record_earns_no_credit_before_it_answers() -> None:
+    """It may have been given back minutes ago; its room was dealt out again."""
+    slice_ = workers(Alone())
+
+    async def ask() -> list[bool]:
+        trusted = []
+        for tally, token in ((7, 3 << 24), (8, (3 << 24) + 1)):
+            reply = await slice_.checkin(report("vm-9", tally, token=token))
+            trusted.append(slice_.stations["vm-9"].trusted)
+            assert msgspec.json.decode(reply.body)["whistle"] == (3 << 24) + 1
+        return trusted
+
+    assert asyncio.run(ask()) == [False, True]
+
+
+def test_a_machine_of_which_an_old_report_came_first_is_asked_all_the_same() -> None:
+    world = Alone()
+    slice_ = workers(world)
+    world.put(r.machine_key("vm-1"), machine("up"))
+    asked: list[str] = []
+    slice_.orders.probe = lambda station: asked.append(station.id)  # type: ignore[method-assign]
+
+    async def ask() -> None:
+        await slice_.checkin(report("vm-1", 40, "j-1/0", token=2 << 24))
+        slice_._look(slice_.stations["vm-1"])
+
+    asyncio.run(ask())
+    assert asked == ["vm-1"] and not slice_.stations["vm-1"].trusted
