Room made for a task is left to it; a job leaves out a machine where it failed for 45 s

Cause: an owner that makes room did not publish it, so its leader left for a part that had not begun; gangs left zones before tasks could save; a machine on which a job failed once was left out for good.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -117,20 +117,23 @@
 
 # --- Placement ----------------------------------------------------------------------------
 PLACE_TICK_S = 0.25  # the placement loop's longest sleep; changes wake it at once
-ASK_STAY_S = 5.0  # after so long in vain at one part a task asks another that seems to have room
+ASK_STAY_S = 8.0  # after so long in vain at one part or in one zone the next has its turn: room is
+# made within it, also by tasks that save for 6 s (docs/incidents/room-made-and-left.md)
 ASK_LOOK_S = 0.25  # how often a waiting ask's part is thought over: its cost grows with asks
 TIDY_S = 1.0  # how often what is remembered of jobs that are over is dropped
 MAX_ASKS_PER_JOB = 64  # tasks of one job that queue at owners at once
 VAIN_AFTER_S = 5.0  # an array of which no ask was served for so long keeps only a few asks
 VAIN_ASKS = 8  # that few: credit that comes is found by them, and the others follow at once
 ERROR_BACKOFF_S = 1.0  # first pause before a failed task is tried again
+AVOID_S = 45.0  # a job leaves out a machine on which it failed: below the users' 90 s of waiting
+AVOID_MOST = 50  # such machines named in one ask: bounds a message's size
 ERROR_BACKOFF_MAX_S = 30.0  # longest pause; a job with a mistake fails until cancelled
 SWEEPS_AT_ONCE = 8  # jobs cleaned up at once: ends and bindings keep most of the write rate
 CHAIN_WORK = -1.0  # stands for the waiting work of a job in a pipeline: short ones go first
 CHAIN_SMALL_S = 200.0  # task seconds of a pipeline's job that hold up nobody
 CHAIN_STOP_S = 30.0  # a lent priority stops others when a start is needed this soon
 NAMED_IN_NOTE = 5  # jobs that a waiting job's note names; the rest are counted
-ZONE_TRY_S = 4.0  # how long a gang gathers in one zone before it tries the next
+ZONE_TRY_S = 4.0  # how long a gang gathers in one zone before it tries one that shows room for it
 
 # --- Fleet --------------------------------------------------------------------------------
 CLOUD_TIMEOUT_S = 5.0  # cloud calls take about 250 ms
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -29,7 +29,8 @@
     probe,
     shape,
 )
-from pulleydeal.membership.messages import ASK, FREE, HOLD, Images, Total
+from pulleydeal.credits.totals import totals
+from pulleydeal.membership.messages import ASK, FREE, HOLD, Total
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
@@ -408,38 +409,14 @@
 
     def _publish(self) -> None:
         self._unpublished = False
-        totals: dict[tuple[str, str, bool], Total] = {}
-        for credit in self._queue.credits.values():
-            kind = (credit.type, credit.zone, credit.spot)
-            total = totals.setdefault(kind, Total(*kind))
-            if credit.reserved is not None:
-                continue
-            cpus, gpus = max(0.0, credit.room.cpus), max(0.0, credit.room.gpus)
-            total.cpus += cpus
-            total.gpus += gpus
-            total.memory += max(0.0, credit.room.memory)
-            total.largest_cpus = max(total.largest_cpus, cpus)
-            total.largest_gpus = max(total.largest_gpus, gpus)
-            _note_most(total.images, credit.images, cpus, gpus)
-            lower = [victim.need for victim in credit.victims if victim.priority < c.ROOM_BELOW]
-            cpus += sum(need.cpus for need in lower)
-            gpus += sum(need.gpus for need in lower)
-            _note_most(total.stoppable, credit.images, cpus, gpus)
-        old, self._published = self._published, list(totals.values())
+        made_for = {key: waiting.ask.need for key, waiting in self._asks.items()}
+        old, self._published = self._published, totals(self._queue.credits.values(), made_for)
         if old != self._published:
             self._membership.send_beat()  # the signal: credit changed
         self._metrics.credits.set(len(self._queue.credits))
         self._metrics.asks.set(len(self._asks))
 
 
-def _note_most(most: Images, images: frozenset[str], cpus: float, gpus: float) -> None:
-    for image in images:
-        old = most.get(image, (0.0, 0.0))
-        more = old[0] < cpus or old[1] < gpus
-        if more and (image in most or len(most) < c.PUBLISHED_IMAGES):
-            most[image] = (max(old[0], cpus), max(old[1], gpus))
-
-
 def _victim(index: int, task: r.Task, spec: r.JobSpec, misses: bool) -> Victim:
     loss = spec.checkpoint_s or spec.estimate_s or 60.0
     if spec.kind == "gang":
--- a/pulleydeal/placement/parts.py
+++ b/pulleydeal/placement/parts.py
@@ -22,6 +22,29 @@
     return cpus >= spec.cpus and gpus >= spec.gpus
 
 
+def _amount(cpus: float, gpus: float) -> int:
+    """One measure of room: cards count first."""
+    return int(gpus * 100 + cpus)
+
+
+def gathers_in(
+    spec: r.JobSpec, zone: str, for_s: float, allowed: list[str], room: Counter[str]
+) -> str:
+    """The zone in which a gang gathers that has been trying one for so long: most room first, then
+    each in its turn.
+
+    Where no other zone shows room for all of it, it stays long enough for room to be made: it takes
+    a task seconds to save. Left before, each zone was emptied in its turn, and filled again by what
+    had been stopped.
+    """
+    others = [z for z in allowed if z != zone] or allowed
+    whole = spec.tasks * _amount(spec.cpus, spec.gpus)
+    elsewhere = any(room[z] >= whole for z in others)
+    if zone in allowed and for_s < (c.ZONE_TRY_S if elsewhere else c.ASK_STAY_S):
+        return zone
+    return max(others, key=lambda z: (room[z], z))
+
+
 class Parts:
     """The parts as published at one moment; what is worked out for a job is remembered."""
 
@@ -36,7 +59,7 @@
         for totals in self._published.values():
             for total in totals:
                 if suits(spec, total):
-                    room[total.zone] += int(total.gpus * 100 + total.cpus)
+                    room[total.zone] += _amount(total.cpus, total.gpus)
         return room
 
     def _score(self, spec: r.JobSpec, zones: list[str], part: str) -> Score:
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -16,7 +16,8 @@
 from pulleydeal.metrics import Metrics
 from pulleydeal.placement.bindings import Bindings
 from pulleydeal.placement.cleaning import Cleaning
-from pulleydeal.placement.parts import Parts
+from pulleydeal.placement.failures import Failures
+from pulleydeal.placement.parts import Parts, gathers_in
 from pulleydeal.placement.pending import Pending, PendingAsks, TaskId
 from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Objective, Team
@@ -55,9 +56,7 @@
         self._metrics = metrics
         self._lock = threading.Lock()
         self._pending = PendingAsks()
-        self._failed: dict[TaskId, tuple[int, float]] = {}  # fails seen, not before
-        self._avoid: dict[str, set[str]] = {}
-        self._last: dict[TaskId, str] = {}  # where a task last ran
+        self._failures = Failures()
         self._gang_zone: dict[str, tuple[str, float]] = {}
         self._served_at: dict[str, float] = {}  # job -> when a task of it last had credit
         self._reasons: dict[str, str] = {}
@@ -179,9 +178,7 @@
             return
         self._tidied_at = now
         alive = self._replica.open_jobs
-        self._avoid = {job: v for job, v in self._avoid.items() if job in alive}
-        self._failed = {key: v for key, v in self._failed.items() if key[0] in alive}
-        self._last = {key: v for key, v in self._last.items() if key[0] in alive}
+        self._failures.forget(alive)
         self._served_at = {job: v for job, v in self._served_at.items() if job in alive}
         self._gang_zone = {job: v for job, v in self._gang_zone.items() if job in alive}
 
@@ -220,7 +217,7 @@
             if pending is None:
                 if open_asks >= most:
                     break
-                if not self._may_try(job, key, now):
+                if not self._failures.may_try(key, job.task(index).fails, now):
                     self._reasons[job.id] = "back-off"
                     continue
                 after = rules.add(usage.get(spec.team, (0.0, 0.0)), (spec.cpus, spec.gpus))
@@ -246,18 +243,6 @@
             return c.MAX_ASKS_PER_JOB
         return c.VAIN_ASKS
 
-    def _may_try(self, job: Job, key: TaskId, now: float) -> bool:
-        task = job.task(key[1])
-        if not task.fails:
-            return True
-        seen, not_before = self._failed.get(key, (0, 0.0))
-        if seen != task.fails:
-            not_before = now + rules.error_backoff_s(task.fails)
-            self._failed[key] = (task.fails, not_before)
-            if key in self._last:
-                self._avoid.setdefault(job.id, set()).add(self._last[key])
-        return now >= not_before
-
     def _ask(
         self,
         job: Job,
@@ -285,7 +270,7 @@
         pending.look_at = now + c.ASK_LOOK_S
         if now - pending.asked_at >= c.ASK_REPEAT_S:
             pending.asked_at = now
-            avoid = sorted(self._avoid.get(job.id, ()))[:50]
+            avoid = self._failures.avoided(job.id, now)
             turn = self._turns[job.id]
             ask = ask_for(spec, key[1], self._membership.epoch, guaranteed, turn, zones, avoid)
             self._siblings.send(part, ASK, pack_ask(ask))
@@ -313,15 +298,11 @@
     def _gather_in(
         self, job: str, spec: r.JobSpec, allowed: list[str], parts: Parts, now: float
     ) -> str:
-        """The zone in which a gang gathers: most room first, then each in its turn."""
-        zone, since = self._gang_zone.get(job, ("", 0.0))
-        if zone in allowed and now - since < c.ZONE_TRY_S:
-            return zone
-        room = parts.room(spec)
-        others = [z for z in allowed if z != zone] or allowed
-        best = max(others, key=lambda z: (room[z], z))
-        self._gang_zone[job] = (best, now)
-        return best
+        zone, since = self._gang_zone.get(job, ("", now))
+        chosen = gathers_in(spec, zone, now - since, allowed, parts.room(spec))
+        if chosen != zone:
+            self._gang_zone[job] = (chosen, now)
+        return chosen
 
     # --- holds and bindings -------------------------------------------------------------------
     def _on_hold(self, part: str, payload: bytes) -> None:
@@ -380,7 +361,7 @@
                 self._drop(key, tell=not shown)
             if shown and job is not None and job.record is not None:
                 wait = max(0.0, self._clock.wall() - job.since)
-                self._last[key] = task.machine
+                self._failures.ran_on(key, task.machine)
                 if task.attempt == 1:
                     self._metrics.start_wait.observe(wait)
                 log.info(
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -24,6 +24,7 @@
     order,
     probe,
 )
+from pulleydeal.credits.totals import totals
 from pulleydeal.membership.messages import Beat, Total, pack_beat, unpack_beat
 
 IMAGES = {"img": (2.0, 1.0), "other": (8.0, 4.0)}
@@ -194,3 +195,14 @@
     assert unpack_cached(pack_cached(cached)) == cached
     beat = Beat(9, [Total("t4", "east", True, 1.0, 2.0, 3.0, 1.0, 2.0, IMAGES, IMAGES)], ["j-7"])
     assert unpack_beat(pack_beat(beat)) == beat
+
+
+def test_room_that_is_being_made_is_shown_to_whom_it_is_made_for_and_to_nobody_as_free() -> None:
+    has = frozenset({"img"})
+    full = credit("a", 0.0, images=has, victims=[victim("j-2", 1, 4.0)])
+    assert totals([full], {})[0].stoppable == {"img": (10.0, 4.0)}
+    kept = credit("a", 2.0, images=has, reserved=("j-1", 4))  # some of its tasks are gone already
+    (total,) = totals([kept], {("j-1", 4): Need(1.0, 4.0, 1.0)})
+    assert (total.gpus, total.largest_gpus, total.images) == (0.0, 0.0, {})
+    assert total.stoppable == {"img": (1.0, 4.0)}
+    assert totals([kept], {})[0].stoppable == {}  # it waits here no more
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,8 +1,10 @@
 """Where a task asks for credit, given what the parts have published."""
 
+from collections import Counter
+
 from pulleydeal import constants as c
 from pulleydeal.membership.messages import Total
-from pulleydeal.placement.parts import Parts
+from pulleydeal.placement.parts import Parts, gathers_in
 from pulleydeal.placement.pending import Pending
 from pulleydeal.store import records as r
 
@@ -55,3 +57,17 @@
     waits.came_at = 100.0 - c.ASK_STAY_S
     assert choose(spec(1), total(2.0), total(3.0), pending=waits) == "winch-0"
     assert choose(spec(1), total(0.0), total(3.0), pending=waits) == "winch-1"
+
+
+def test_a_gang_leaves_a_zone_soon_for_room_elsewhere_and_else_gives_room_time() -> None:
+    gang = r.JobSpec("j-1", "c", "core", "gang", 2, 2, 1.0, 4.0, 1.0, "img", 9.0, one_zone=True)
+    zones = ["east", "west", "north"]
+
+    def moves(room: dict[str, int], for_s: float, zone: str = "east") -> str:
+        return gathers_in(gang, zone, for_s, zones, Counter(room))
+
+    assert moves({"west": 802}, 0.0, zone="") == "west"
+    assert moves({"west": 802}, c.ZONE_TRY_S - 1) == "east"
+    assert moves({"west": 802}, c.ZONE_TRY_S) == "west"
+    assert moves({"west": 801}, c.ZONE_TRY_S) == "east"  # not for both of its tasks
+    assert moves({"west": 801}, c.ASK_STAY_S) == "west"  # in vain: the next has its turn
