--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -116,18 +116,14 @@
         1 submit j-1 batch 1 900 crew=small
         1 submit j-2 batch 1 900 crew=small
         1 submit j-3 gang 2 900 crew=small
-        3 submit j-4 batch 3 20 crew=small
-        3 submit j-5 gang 2 20 crew=small
-        3 submit j-6 standing 1 0 crew=small
-        3 submit j-7 batch 6 900
-        T+0 cancel_now 2 9
+        25 submit j-7 batch 12 20
+        30 submit j-4 batch 3 20 crew=small
+        30 submit j-5 gang 2 20 crew=small
+        30 submit j-6 standing 1 0 crew=small
+        T+0 cancel_now 3 10
         T+0.3 crash winch-0 0.2
         T+0.5 crash winch-1 0.2
         T+0.7 crash winch-2 0.2
-        T+1 cancel j-1
-        T+5 cancel j-2
-        T+9 cancel j-3
-        T+14 cancel j-7
         """,
         {"confirmed": 3},
         overlaps=(
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -13,7 +13,7 @@
 from pulleydeal.store.replica import Replica
 from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.service import Workers
-from pulleydeal.workers.station import Blame, Station, is_sick
+from pulleydeal.workers.station import Blame, Sent, Station, is_sick
 
 
 class Alone:
@@ -190,3 +190,29 @@
 
     asyncio.run(ask())
     assert asked == ["vm-1"] and not slice_.stations["vm-1"].trusted
+
+
+def test_a_start_whose_order_got_no_answer_is_given_up_only_by_a_token_raised_above_it() -> None:
+    """It may be carried out for as long as its token holds."""
+    world = Alone()
+    slice_ = workers(world)
+    spec = r.JobSpec("j-1", "c", "core", "array", 1, 1, 1.0, 0.0, 1.0, "img", 1.0)
+    world.put(r.machine_key("vm-1"), machine("up"))
+    world.put(r.job_key("j-1"), r.JobRecord("open", 1, 0.0, spec))
+    given_up: list[Any] = []
+    slice_._record_exit = lambda _, gone: given_up.append(gone.detail)  # type: ignore[method-assign]
+
+    async def ask() -> list[list[Any]]:
+        await slice_.checkin(report("vm-1", 1))
+        world.put(r.chunk_key("j-1", 0), [r.Task("vm-1", 1)])
+        station = slice_.stations["vm-1"]
+        start = ("j-1", 0, 1)
+        station.sent[start] = Sent(1, 0, direct=True)
+        slice_.orders._unsettle(station, [start], executed=True)
+        seen = []
+        for tally, token in ((2, 3 << 24), (3, (3 << 24) + 1)):
+            await slice_.checkin(report("vm-1", tally, token=token))
+            seen.append(list(given_up))
+        return seen
+
+    assert asyncio.run(ask()) == [[], ["never came up"]]
