An array that waits for an aim and has not begun for 120 s goes first among its priority

Cause: the shortest first leaves the longest without a single start while others come; the operators want a class's largest jobs to begin within four minutes.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -129,6 +129,8 @@
 AVOID_MOST = 50  # such machines named in one ask: bounds a message's size
 ERROR_BACKOFF_MAX_S = 30.0  # longest pause; a job with a mistake fails until cancelled
 SWEEPS_AT_ONCE = 8  # jobs cleaned up at once: ends and bindings keep most of the write rate
+BEGIN_S = 120.0  # an array of which nothing has started for so long goes first among its priority:
+# operators expect also a class's largest jobs to begin within four minutes
 CHAIN_WORK = -1.0  # stands for the waiting work of a job in a pipeline: short ones go first
 CHAIN_SMALL_S = 200.0  # task seconds of a pipeline's job that hold up nobody
 CHAIN_STOP_S = 30.0  # a lent priority stops others when a start is needed this soon
--- a/pulleydeal/rules.py
+++ b/pulleydeal/rules.py
@@ -102,6 +102,9 @@
         elif objective.kind == "deadline" and spec.deadline_s is not None:
             latest = record.at + spec.deadline_s * (objective.times or 1.0)
             missed += wall + spec.estimate_s > latest
+    aimed_at = any(objective.klass == spec.klass for objective in objectives)
+    if spec.kind == "array" and age > c.BEGIN_S and aimed_at and not job.has_begun:
+        return 0, c.CHAIN_WORK  # the shortest first left the longest without a single start
     left = (spec.tasks - job.done - job.bound) * (spec.estimate_s or 1.0)
     if policy is not None and policy.decides("order"):
         return missed, policy.value("order", _described(job, spec, age, left))
--- a/pulleydeal/store/job.py
+++ b/pulleydeal/store/job.py
@@ -50,6 +50,11 @@
     def is_open(self) -> bool:
         return self.status == "open" and not self.doomed
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a task of it was ever started, as far as its records tell."""
+        return bool(self.on_machines or self.done or self.last_stop)
+
     @property
     def is_over(self) -> bool:
         """Done or cancelled, which never changes any more."""
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -110,6 +110,7 @@
     array = job("j-1", 4, estimate_s=30.0)
     assert rules.turn(array, objectives, 60.0) == (0, 120.0)
     assert rules.turn(array, objectives, 80.0) == (1, 120.0)
+    array.last_stop = "m"  # it had begun; of one that had not, tests/test_waiting_turns.py
     assert rules.turn(array, objectives, 180.0) == (2, 120.0)
     due = job("j-2", deadline_s=50.0, estimate_s=30.0)
     assert rules.turn(due, [Objective("deadline", "c", None, 2.0)], 60.0) == (0, 30.0)
