--- a/standins/troubles.py
+++ b/standins/troubles.py
@@ -30,8 +30,16 @@
         return [self._hosts[block] for block in found[: math.ceil(float(share) * len(found))]]
 
     def do_hang(self: "Scenario", what: str, for_s: str, share: str = "1") -> None:
-        for host in self._some_hosts(what, share):
-            self._freeze(host, float(for_s))
+        found = self._blocks(what)
+        for block in found[: math.ceil(float(share) * len(found))]:
+            self._hang(block, float(for_s))
+
+    def _hang(self: "Scenario", block: str, for_s: float) -> None:
+        worker = self._workers[block]
+        self._freeze(self._hosts[block], for_s)
+        left_s = worker.lease_end_s() - self._loop.time()
+        if left_s < for_s:
+            self._loop.call_later(max(0.0, left_s) + 0.01, worker.lapse_if_over)
 
     def _freeze(self: "Scenario", host: Host, for_s: float) -> None:
         host.frozen = True
--- a/standins/users.py
+++ b/standins/users.py
@@ -135,7 +135,7 @@
         if float(hang_s):
             found = sorted(set().union(*(blocks[job] for job in chosen)))
             for block in found[:MOST_HUNG]:
-                self._freeze(self._hosts[block], float(hang_s))
+                self._hang(block, float(hang_s))
 
     def do_cancel_at_end(self: "Scenario", share: str) -> None:
         def ended(lift: str) -> None:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -273,16 +273,28 @@
     def _tick(self) -> None:
         now = self._clock.now()
         if now - self.renewed > self._times.lease_s:
-            self._world.rules.lost += len(self.lifts)
-            for lift in list(self.lifts):
-                self._off(lift)
-            self.lifts.clear()
-            self.shift += 1
-            self.renewed = now
-            self._soon.set()
+            self._lapse(now)
         for lift, running in list(self.lifts.items()):
             self._advance(lift, running, now)
 
+    def _lapse(self, now: float) -> None:
+        self._world.rules.lost += len(self.lifts)
+        for lift in list(self.lifts):
+            self._off(lift)
+        self.lifts.clear()
+        self.shift += 1
+        self.renewed = now
+        self._soon.set()
+
+    def lease_end_s(self) -> float:
+        return self.renewed + self._times.lease_s
+
+    def lapse_if_over(self) -> None:
+        """PROTOCOL: a machine that hangs may go on at any time within its lease; after that nothing
+        of what was there goes on, whenever it wakes."""
+        if not self.gone and self._clock.now() >= self.lease_end_s():
+            self._lapse(self._clock.now())
+
     def _advance(self, lift: str, r: Running, now: float) -> None:
         if r.tension == "fetching" and now >= r.ready_at:
             self._images.add(r.job["tackle"])
