--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -125,6 +125,22 @@
     assert broken_by(*over, told(422, "", began=1.5)) == ["forgotten"]
 
 
+def test_a_job_whose_polls_all_fail_while_others_are_answered_is_caught() -> None:
+    def polls(answered: bool, others: bool) -> list[str]:
+        steps: list[object] = [told(201, "queued"), 1.0]
+        for at in range(5, 105, 5):
+            steps += [
+                float(at),
+                lambda rules: rules.polled("j-1", answered),
+                lambda rules: rules._polls.append((rules._now(), "j-2", others)),
+            ]
+        return broken_by(*steps)
+
+    assert set(polls(answered=False, others=True)) == {"forgotten"}
+    assert polls(answered=False, others=False) == []  # nobody is answered: an outage
+    assert polls(answered=True, others=True) == []
+
+
 class Idle:
     """A machine that does nothing, as far as `Waits` looks at it."""
 
