Adds a scale run of hollow workers beside real nodes, and a profile of where a node's time goes

`experiments scale` plays whole nodes as processes with hollow workers (the stand-ins' own worker, many to a process) over loopback; the state service and the cloud stand in processes of their own with their published limits, now also of requests. What workers do is judged by the checker in the order in which it happened, across processes.

The checker's counts by job and team are kept instead of counted anew at each start, and a watch of the state service's stand-in no longer scans all 10,000 kept changes: both grew with the square of a run.

--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -18,10 +18,12 @@
     "history",
     "meetings",
     "overload",
+    "profile",
     "restarts",
     "rollouts",
     "rolloutscale",
     "rolloutseeds",
+    "scale",
     "served",
     "startup",
     "zoneloss",
@@ -34,12 +36,16 @@
     parser.add_argument("--quick", action="store_true", help="small, under 30 s")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--out", type=Path, default=Path("target/experiments"))
-    parser.add_argument("--days", type=Path, help="served: a folder with reports of days (JSON)")
+    parser.add_argument(
+        "--days",
+        type=Path,
+        help="served: a folder with reports of days (JSON); profile: with samples (*.raw)",
+    )
     options = parser.parse_args()
     module = importlib.import_module(f"experiments.{options.name}")
     began = time.monotonic()
-    if options.days is not None and options.name != "served":
-        parser.error("--days goes with served")
+    if options.days is not None and options.name not in ("profile", "served"):
+        parser.error("--days goes with profile or served")
     if options.days is not None:
         report = module.read(options.days)
     else:
--- /dev/null
+++ b/experiments/profile.py
@@ -0,0 +1,161 @@
+"""Where a node's processor time goes: a sampling profiler over three nodes of a small cell.
+
+With `--days DIR` it reads profiles that were recorded elsewhere (py-spy's raw format, *.raw).
+"""
+
+import asyncio
+import re
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+from experiments.report import Report
+from experiments.scale_cell import Cell
+from experiments.scale_plan import Size
+from experiments.scale_run import Run
+
+ABOUT = "processor time of three nodes by place; samples of their own code"
+RATE_HZ = 97  # samples a second; no divisor of the loops' periods
+PLACES = 12
+QUICK_S, FULL_S = 8.0, 30.0
+START_S = 1.0  # until the profilers have attached
+OURS = re.compile(r"\((pulleydeal|h11|asyncio|msgspec)/")
+WAITING = "select (selectors.py"  # a loop that has nothing to do
+SOURCE_LINE = re.compile(r":\d+\)$")
+
+# Place -> what its cost grows with. Anything else is shown without a unit.
+GROWS_WITH = {
+    "Server._connection (pulleydeal/http.py)": "requests (reports, users')",
+    "Workers.checkin (pulleydeal/workers/service.py)": "reports",
+    "_read_request (pulleydeal/http.py)": "requests (reports, users')",
+    "_send (pulleydeal/http.py)": "requests (reports, users')",
+    "Connection.next_event (h11/_connection.py)": "requests, both ways",
+    "Connection.send (h11/_connection.py)": "requests, both ways",
+    "Client.send (pulleydeal/http.py)": "orders and state calls",
+    "Workers._plan (pulleydeal/workers/service.py)": "reports of machines that changed",
+    "Workers.work (pulleydeal/workers/service.py)": "machines, each second; changes",
+    "Going.tend (pulleydeal/workers/going.py)": "machines, twice a second",
+    "Credits.work (pulleydeal/credits/service.py)": "rounds, changed machines, asks",
+    "Credits._publish (pulleydeal/credits/service.py)": "machines with credit, five times a second",
+    "totals (pulleydeal/credits/totals.py)": "machines with credit, five times a second",
+    "Placement.work (pulleydeal/placement/service.py)": "open jobs that are led here, a round",
+    "Placement._round (pulleydeal/placement/service.py)": "open jobs that are led here, a round",
+    "Membership.send_beat (pulleydeal/membership/service.py)": "published totals, each beat",
+    "Membership._on_beat (pulleydeal/membership/service.py)": "members x published totals",
+    "Siblings._accept (pulleydeal/membership/siblings.py)": "members x messages",
+    "Replica.apply (pulleydeal/store/replica.py)": "changes of all nodes",
+    "Store._write (pulleydeal/store/service.py)": "own changes",
+    "Store.commit (pulleydeal/store/service.py)": "own changes",
+    "Fleet.rent (pulleydeal/fleet/service.py)": "machines and open jobs, each second (leader)",
+    "Fleet.give_back (pulleydeal/fleet/service.py)": "machines, each second (leader)",
+}
+# Frames that hold everything below them: nothing is learned from their share.
+FRAMES_PASSED = ("run", "forever", "Runner.", "BaseEventLoop.", "Handle._run", "main", "serve")
+
+
+class Profile:
+    """Samples by place: how often it was at work, itself or in what it called."""
+
+    def __init__(self) -> None:
+        self.samples = 0
+        self.within: Counter[str] = Counter()
+
+    def add(self, text: str) -> None:
+        """One process's samples: `frame;frame;... count`, the outermost first."""
+        for line in text.splitlines():
+            stack, _, count = line.rpartition(" ")
+            frames = [SOURCE_LINE.sub(")", frame) for frame in stack.split(";")]
+            if not stack or frames[-1].startswith(WAITING) or "select" in frames[-1]:
+                continue
+            self.samples += int(count)
+            for frame in set(frames):
+                self.within[frame] += int(count)
+
+    def places(self, most: int) -> list[tuple[str, int]]:
+        """The dearest places of the service's own code."""
+        found = [
+            (frame, count)
+            for frame, count in self.within.most_common()
+            if OURS.search(frame)
+            and "(asyncio/" not in frame
+            and not frame.startswith(FRAMES_PASSED)
+        ]
+        return found[:most]
+
+
+def rows(profile: Profile, cores: float | None = None) -> list[dict[str, Any]]:
+    """`cores`: processor seconds a second of all profiled nodes, where that was measured."""
+    found = []
+    for frame, count in profile.places(PLACES):
+        share = count / max(1, profile.samples)
+        row: dict[str, Any] = {"place": frame, "share": share}
+        if cores is not None:
+            row["ms a second"] = share * cores * 1000
+        row["grows with"] = GROWS_WITH.get(frame, "")
+        found.append(row)
+    return found
+
+
+def read(folder: Path) -> Report:
+    """Profiles that were recorded by `py-spy record --format raw`."""
+    profile = Profile()
+    files = sorted(folder.glob("*.raw"))
+    for path in files:
+        profile.add(path.read_text())
+    report = Report("profile", f"{ABOUT}; {len(files)} files", rows(profile))
+    report.notes.append(f"{profile.samples} samples, waiting left out")
+    report.bound("samples were read", profile.samples > 0)
+    return report
+
+
+async def _record(pid: int, path: Path, for_s: float) -> None:
+    words = ["-m", "py_spy", "record", "--nonblocking", "--format", "raw"]
+    tool = Path(sys.executable).with_name("py-spy")
+    command = [str(tool), *words[2:]] if tool.is_file() else [sys.executable, *words]
+    options = ["--rate", str(RATE_HZ), "--duration", str(int(for_s)), "--output", str(path)]
+    process = await asyncio.create_subprocess_exec(
+        *command,
+        *options,
+        "--pid",
+        str(pid),
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.DEVNULL,
+    )
+    await process.wait()
+
+
+async def run(quick: bool, seed: int) -> Report:
+    for_s = QUICK_S if quick else FULL_S
+    size = Size(workers=60 if quick else 300, seed=seed, measure_s=for_s)
+    profile = Profile()
+    with tempfile.TemporaryDirectory(prefix="pulleydeal-profile-") as name:
+        folder = Path(name)
+        cell = Cell(folder, size)
+        try:
+            await cell.start()
+            measuring = asyncio.ensure_future(Run(cell, faults=False).measure())
+            await asyncio.sleep(size.settle_s + START_S)
+            nodes = {node: process.pid for node, process in cell.processes.items()}
+            await asyncio.gather(
+                *(
+                    _record(pid, folder / f"{node}.raw", for_s - START_S)
+                    for node, pid in nodes.items()
+                )
+            )
+            row = await measuring
+        finally:
+            await cell.stop()
+        for node in nodes:
+            path = folder / f"{node}.raw"
+            profile.add(path.read_text() if path.is_file() else "")
+    report = Report("profile", ABOUT, rows(profile, row["cores of all nodes"]))
+    report.notes.append(
+        f"whole nodes, {size.workers} hollow workers with {size.tasks_per_worker} tasks each,"
+        f" {row['starts/s']:.1f} starts and {row['reports/s']:.1f} reports a second,"
+        f" {row['cores of all nodes']:.3f} cores; {profile.samples} samples, waiting left out"
+    )
+    report.bound("all three nodes were sampled", profile.samples > 0)
+    report.bound("no rule broken", row["rules broken"] == 0)
+    return report
--- a/experiments/report.py
+++ b/experiments/report.py
@@ -34,6 +34,7 @@
     name: str
     about: str
     rows: list[Row] = field(default_factory=list)
+    details: list[Row] = field(default_factory=list)  # too wide for a table: in the JSON only
     bounds: list[Bound] = field(default_factory=list)
     plots: list[Plot] = field(default_factory=list)
     notes: list[str] = field(default_factory=list)
@@ -73,6 +74,7 @@
         "options": options,
         "machine": f"{platform.machine()}, Python {platform.python_version()}",
         "rows": report.rows,
+        "details": report.details,
         "bounds": [{"claim": b.claim, "held": b.held} for b in report.bounds],
         "notes": report.notes,
     }
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -109,6 +109,11 @@
         self._put(block, type_, yard, loaners)
         self._boot(block)
 
+    def hold(self, block: str, type_: str, yard: str, loaners: bool) -> None:
+        """A machine that runs already and whose worker is started elsewhere."""
+        self._put(block, type_, yard, loaners)
+        self.blocks[block]["tension"] = "running"
+
     def _put(self, block: str, type_: str, yard: str, loaners: bool) -> None:
         self._serial = max(self._serial, int(block.rpartition("-")[2]))
         self.blocks[block] = {
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -1,5 +1,6 @@
 """Checks PROTOCOL's rules while a scenario runs, from what tasks and users really saw."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +15,10 @@
         self.uploads: dict[str, dict[str, Any]] = {}
         self.broken: list[str] = []
         self.places: dict[str, dict[str, str]] = {}  # lift -> block -> yard
+        # Job -> its tasks' zones, one for each place; team -> jobs with any. Counting all tasks at
+        # each start grew with the square of a day.
+        self._yards: dict[str, Counter[str]] = {}
+        self._live: dict[str, set[str]] = {}
         self.starts = 0
         self.lost = 0  # tasks that workers gave up as their lease was over
         self.changes: list[tuple[float, str, int]] = []  # when a task of which job came or went
@@ -57,23 +62,18 @@
                 self._break("too_early", f"{lift}, and {needed} is not done")
         if self.places.get(lift):
             self._break("ran_twice", f"{lift} on {block} and {sorted(self.places[lift])}")
-        others = [
-            place
-            for other, blocks in self.places.items()
-            if other.rpartition("/")[0] == name
-            for place in blocks.values()
-        ]
+        others = self._yards.setdefault(name, Counter())
         if (
             (loaners and not job["loaners"])
             or job.get("yard") not in (None, yard)
             or (job.get("rig_models") is not None and type_ not in job["rig_models"])
         ):
             self._break("wrong_place", f"{lift} on {block} in {yard}")
-        if job["same_place"] and any(place != yard for place in others):
+        if job["same_place"] and others.total() > others[yard]:
             self._break("wrong_place", f"{lift} in {yard}, others in {set(others)}")
-        if job["spread"] and others.count(yard) + 1 > (job["lifts"] + 1) // 2:
+        if job["spread"] and others[yard] + 1 > (job["lifts"] + 1) // 2:
             self._break("wrong_place", f"{lift}: too many in {yard}")
-        self.places.setdefault(lift, {})[block] = yard
+        self._put(lift, block, yard)
         self.changes.append((self._now(), name, 1))
         told_at = self._told_cancelled(name)
         if told_at < self._now():
@@ -86,15 +86,36 @@
             self._break("quota", f"{job['crew']} uses {used} of {limit}")
         self.check_cancelled()
 
+    def _put(self, lift: str, block: str, yard: str) -> None:
+        name = lift.rpartition("/")[0]
+        if block not in self.places.setdefault(lift, {}):
+            self._yards.setdefault(name, Counter())[yard] += 1
+        self.places[lift][block] = yard
+        self._live.setdefault(self.uploads[name]["crew"], set()).add(name)
+
+    def _take(self, lift: str, block: str) -> bool:
+        """Whether it was there."""
+        yard = self.places.get(lift, {}).pop(block, None)
+        if yard is None:
+            return False
+        name = lift.rpartition("/")[0]
+        self._yards[name] -= Counter({yard: 1})
+        if not self._yards[name]:
+            self._live[self.uploads[name]["crew"]].discard(name)
+        return True
+
     def _in_use(self, team: str) -> float:
         return float(
             sum(
-                self.uploads[k.rpartition("/")[0]]["accelerators"] * len(blocks)
-                for k, blocks in self.places.items()
-                if self.uploads[k.rpartition("/")[0]]["crew"] == team
+                self.uploads[name]["accelerators"] * self._yards[name].total()
+                for name in sorted(self._live.get(team, ()))
             )
         )
 
+    def already(self, lift: str, block: str, yard: str) -> None:
+        """A task that runs there from before the checker began to watch."""
+        self._put(lift, block, yard)
+
     def _used(self, team: str) -> float:
         used = self._in_use(team)
         self.usage.setdefault(team, []).append(used)
@@ -106,11 +127,13 @@
 
     def off(self, lift: str, block: str) -> None:
         self.check_cancelled()
-        if self.places.get(lift, {}).pop(block, None) is not None:
+        if self._take(lift, block):
             self.changes.append((self._now(), lift.rpartition("/")[0], -1))
             self._used(self.uploads[lift.rpartition("/")[0]]["crew"])
 
     def check_cancelled(self) -> None:
+        if not self.cancelled:
+            return
         for lift, blocks in self.places.items():
             at = self._told_cancelled(lift.rpartition("/")[0])
             if blocks and self._now() - at > self._cancel_s:
--- a/standins/state.py
+++ b/standins/state.py
@@ -4,6 +4,7 @@
 import json
 import random
 from bisect import bisect_left, bisect_right
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -39,6 +40,9 @@
         self._value_b, self._ops = 8 * 1024, 32
         self._write_rps: float | None = None  # None: any rate
         self._may_write, self._may_write_at = 0.0, 0.0
+        self._rps: float | None = None  # the same of requests of any kind
+        self._may_ask, self._may_ask_at = 0.0, 0.0
+        self.counts: Counter[str] = Counter()  # what was asked and answered, for measurements
         self.too_large: list[str] = []  # what was refused with 400 for its size
         self.refused_writes = 0
         self.server = Server(self.handle, 10_000)
@@ -61,9 +65,12 @@
     def put(self, key: str, data: Any) -> None:
         self._apply([{"set": key, "data": data}])
 
-    def limit(self, value_kb: float, ops: int, write_rps: float | None) -> None:
+    def limit(
+        self, value_kb: float, ops: int, write_rps: float | None, rps: float | None = None
+    ) -> None:
         self._value_b, self._ops, self._write_rps = int(value_kb * 1024), ops, write_rps
         self._may_write, self._may_write_at = 0.0, asyncio.get_running_loop().time()
+        self._rps, self._may_ask, self._may_ask_at = rps, 0.0, self._may_write_at
 
     def _over(self, body: dict[str, Any]) -> str:
         """Why a transaction is larger than the limits of this moment."""
@@ -89,6 +96,17 @@
         self._may_write -= changes
         return False
 
+    def _asked_too_fast(self) -> bool:
+        if self._rps is None:
+            return False
+        now = asyncio.get_running_loop().time()
+        self._may_ask = min(self._rps, self._may_ask + (now - self._may_ask_at) * self._rps)
+        self._may_ask_at = now
+        if self._may_ask < 1:
+            return True
+        self._may_ask -= 1
+        return False
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -125,7 +143,11 @@
             return answer(503, {"error": "outage"})
         if self.slow_s:
             await asyncio.sleep(self._rng.uniform(0.0, self.slow_s))
+        if self._asked_too_fast():
+            self.counts["refused requests"] += 1
+            return answer(429, {"error": "too many requests"})
         url = urlsplit(request.path)
+        self.counts[url.path.split("/")[1]] += 1
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         body = json.loads(request.body) if request.body else {}
         if url.path == "/commit":
@@ -189,6 +211,7 @@
             self.too_large.append(over)
             return answer(400, {"error": f"too large: {over}"})
         if changes and self._too_fast(len(changes)):
+            self.counts["refused writes"] += 1
             return answer(429, {"error": "too many changes"})
         for change in changes:
             if change.get("charter") is not None and change["charter"] not in self._holds:
@@ -202,6 +225,7 @@
             return answer(409, {"failed": failed, "ledger": self.ledger})
         if changes:
             self._apply(changes)
+            self.counts["changes"] += len(changes)
         return answer(200, {"ledger": self.ledger})
 
     def _page(self, query: dict[str, str]) -> Response:
@@ -217,7 +241,9 @@
             {"k": k, "data": self.keys[k][0], "mark": self.keys[k][1]} for k in names[:limit]
         ]
         more = len(names) > limit
-        return answer(200, {"entries": entries, "truncated": more, "ledger": self.ledger})
+        reply = answer(200, {"entries": entries, "truncated": more, "ledger": self.ledger})
+        self.counts["page bytes"] += len(reply.body)
+        return reply
 
     async def _watch(self, query: dict[str, str]) -> Response:
         after = int(query["after"])
@@ -236,14 +262,19 @@
                     and len(self._log) >= KEPT_CHANGES
                     and self._log[0]["mark"] > after + 1
                 ):
+                    self.counts["watches too old"] += 1
                     return answer(410, {})
+                first = bisect_right(self._log, after, key=lambda event: int(event["mark"]))
                 events = [
                     e
-                    for e in self._log
-                    if e["mark"] > after and e.get("set", e.get("drop")).startswith(query["under"])
+                    for e in self._log[first:]
+                    if e.get("set", e.get("drop")).startswith(query["under"])
                 ]
                 if events or loop.time() >= until:
-                    return answer(200, {"ledger": self.ledger, "events": events})
+                    reply = answer(200, {"ledger": self.ledger, "events": events})
+                    self.counts["watched events"] += len(events)
+                    self.counts["watch bytes"] += len(reply.body)
+                    return reply
             changed = self._changed
             try:
                 async with asyncio.timeout(0.5 if away else max(0.0, until - loop.time())):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -10,6 +10,7 @@
 
 from pulleydeal.clock import Clock
 from pulleydeal.http import Client, NoAnswer, Request, Response, Server, answer
+from standins.gangs import Gangs
 from standins.net import LINK
 from standins.rules import Rules
 
@@ -37,6 +38,7 @@
     lease_s: float = 14.0
     gang_wait_s: float = 50.0
     gang_peer_s: float = 8.0
+    tick_s: float = 0.1  # how often tasks go on; coarser where thousands of workers share a process
 
 
 @dataclass
@@ -47,7 +49,7 @@
     uploads: dict[str, dict[str, Any]] = field(default_factory=dict)
     results: set[str] = field(default_factory=set)
     progress: dict[str, float] = field(default_factory=dict)
-    gangs: dict[tuple[str, int], dict[str, Running]] = field(default_factory=dict)
+    gangs: Gangs = field(default_factory=Gangs)
     late_reports: float = 0.0  # share of check-ins of which a copy comes again later
     for_next: bool = False  # these copies come when the next leader begins, to every node
     kept: list[dict[str, Any]] = field(default_factory=list)  # such copies, by now
@@ -94,12 +96,20 @@
         self._server = Server(self.handle, 1000)
         self.sick = False
         self.gone = False
+        self.reachable = True  # false: nothing that it sends or is sent arrives
+        self.reports = self.report_bytes = self.answer_bytes = self.orders = 0
         self.reclaim_at: float | None = None
         self._copies: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
+        await self.listen()
+        await asyncio.gather(self.keep_reporting(), self._ticking())
+
+    async def listen(self) -> None:
         await self._server.start(self.addr)
-        await asyncio.gather(self._reporting(), self._ticking())
+
+    async def close(self) -> None:
+        await self._server.close()
 
     def vanish(self) -> None:
         self.gone = True
@@ -132,9 +142,12 @@
         }
 
     # --- reports ----------------------------------------------------------------------------
-    async def _reporting(self) -> None:
+    async def keep_reporting(self) -> None:
         clients = {name: Client(address, self._clock) for name, address in self._nodes.items()}
         while True:
+            if not self.reachable:
+                await asyncio.sleep(self._times.report_s / 4)
+                continue
             shift, sent = self.shift, self._clock.now()
             wait = 1.0
             report, at = self.report(), self._at
@@ -146,8 +159,12 @@
                     self._copies.add(copy)
                     copy.add_done_callback(self._copies.discard)
             try:
-                status, body = await clients[at].request("POST", "/checkin", report, ANSWER_S)
+                payload = json.dumps(report, separators=(",", ":")).encode()
+                status, body = await clients[at].send("POST", "/checkin", payload, ANSWER_S)
                 reply = json.loads(body)
+                self.reports += 1
+                self.report_bytes += len(payload)
+                self.answer_bytes += len(body)
             except NoAnswer:
                 status, reply = 0, {}
             if self._clock.now() - sent > ANSWER_S:
@@ -184,8 +201,11 @@
         client.close()
 
     async def handle(self, request: Request) -> Response:
+        if not self.reachable:
+            await asyncio.get_running_loop().create_future()  # never answers
         if request.path == "/inspect":
             return answer(200, self.report())
+        self.orders += 1
         body = json.loads(request.body)
         if "whistle" not in body or "shift" not in body:
             return answer(400, {})
@@ -237,7 +257,7 @@
         running.ready_at = self._clock.now() + fetch
         running.ordered_at = ordered_at
         self.lifts[lift] = running
-        self._tick()
+        self.tick()
 
     def _kill(self, lift: str, running: Running, ease_s: float) -> None:
         job = running.job
@@ -254,6 +274,8 @@
         if why == "done":
             self._world.results.add(lift)
             self._world.ended(lift)
+            if running.job["haul"] == "gang":
+                self._world.gangs.complete(running.job["name_id"])
         self._soon.set()
 
     def _off(self, lift: str) -> None:
@@ -261,16 +283,17 @@
         if running.tension in ("gathering", "running", "flushing"):
             self._world.rules.off(lift, self.block)
             self._world.ends(lift)
-        key = (lift.rpartition("/")[0], running.pull)
-        self._world.gangs.get(key, {}).pop(lift, None)
+        if running.job and running.job["haul"] == "gang":
+            self._world.gangs.leave((running.job["name_id"], running.pull), lift)
 
     # --- time -------------------------------------------------------------------------------
     async def _ticking(self) -> None:
         while not self.gone:
-            await asyncio.sleep(0.1)
-            self._tick()
+            await asyncio.sleep(self._times.tick_s)
+            self.tick()
 
-    def _tick(self) -> None:
+    def tick(self) -> None:
+        """Lets its tasks go on by a tick, and ends them with its lease."""
         now = self._clock.now()
         if now - self.renewed > self._times.lease_s:
             self._lapse(now)
@@ -309,24 +332,16 @@
                 return
             if r.job["haul"] == "gang":
                 r.tension, r.waits_from = "gathering", now
-                gang = self._world.gangs.setdefault((r.job["name_id"], r.pull), {})
-                gang[lift] = r
-                if len(gang) == r.job["lifts"]:
-                    for member in gang.values():
-                        member.tension = "running"
+                self._world.gangs.join((r.job["name_id"], r.pull), lift, r, r.job["lifts"])
             elif r.job["haul"] == "standing":
                 self._world.runs(self, lift, r)
             self._soon.set()
         elif r.tension == "gathering" and now - r.waits_from > self._times.gang_wait_s:
             self._exit(lift, r, "incomplete")
         elif r.tension == "running":
-            r.left_s -= 0.1
-            gang = self._world.gangs.get((r.job["name_id"], r.pull), {})
-            if (
-                r.job["haul"] == "gang"
-                and len(gang) < r.job["lifts"]
-                and not any(k.startswith(r.job["name_id"] + "/") for k in self._world.results)
-            ):
+            r.left_s -= self._times.tick_s
+            attempt = (r.job["name_id"], r.pull)
+            if r.job["haul"] == "gang" and self._world.gangs.is_broken(attempt, r.job["lifts"]):
                 self._exit(lift, r, "peers")
             elif r.left_s <= 0 and r.job["haul"] != "standing":
                 self._exit(lift, r, "done")
