--- a/pulleydeal/workers/sight.py
+++ b/pulleydeal/workers/sight.py
@@ -125,9 +125,7 @@
     deaf = [
         s
         for s in stations
-        if s.unanswered_since is not None
-        and s.heard_at is not None
-        and silent_s(s, now) <= quiet_s
+        if s.unanswered_since is not None and s.heard_at is not None and silent_s(s, now) <= quiet_s
     ]
     mute = [
         s
--- a/pulleydeal/zones/watch.py
+++ b/pulleydeal/zones/watch.py
@@ -62,9 +62,7 @@
     def distrusted(self) -> set[str]:
         now = self._ground.clock.now()
         return {
-            zone
-            for zone, watched in self._zones.items()
-            if losses.state(watched, now) != "whole"
+            zone for zone, watched in self._zones.items() if losses.state(watched, now) != "whole"
         }
 
     # --- what is to be given back -----------------------------------------------------------
--- a/tests/model/blind_owner.py
+++ b/tests/model/blind_owner.py
@@ -93,7 +93,10 @@
     ages = {
         name: min(most, getattr(s, name) + 1)
         for name, most in (
-            ("renewed", LEASE + 1), ("l_current", OLD), ("c_stamp", OLD), ("b_stamp", OLD)
+            ("renewed", LEASE + 1),
+            ("l_current", OLD),
+            ("c_stamp", OLD),
+            ("b_stamp", OLD),
         )
     }
     saids = {name: _older(getattr(s, name)) for name in ("from_c", "from_b", "held_c", "held_b")}
@@ -114,8 +117,9 @@
     for name in SERVED:
         if name != s.served:
             waits = "L" in SERVED[s.served] and "L" not in SERVED[name]
-            yield f"served: {name}", replace(
-                s, served=name, changes=s.changes + 1, watch_waits=waits
+            yield (
+                f"served: {name}",
+                replace(s, served=name, changes=s.changes + 1, watch_waits=waits),
             )
     for name in CUT:
         if name != s.links:
@@ -140,8 +144,9 @@
     elif "B" in up and not s.cancelled:
         yield "the job is cancelled at B", replace(s, cancelled=True, b_knows=True)
     if crash and "B" not in up and s.b_loaded:
-        yield "B crashes and is back with nothing", replace(
-            s, b_loaded=False, b_epoch=0, b_from=0, b_knows=False, b_saw_l=0, b_saw_c=0
+        yield (
+            "B crashes and is back with nothing",
+            replace(s, b_loaded=False, b_epoch=0, b_from=0, b_knows=False, b_saw_l=0, b_saw_c=0),
         )
 
 
@@ -191,13 +196,15 @@
     yield "", s
     if s.held_b is not None:
         came = replace(s.held_b, age=0)
-        yield "a held beat of B's comes", replace(
-            s, from_b=came, l_relayed=relayed(s, came), held_b=None
+        yield (
+            "a held beat of B's comes",
+            replace(s, from_b=came, l_relayed=relayed(s, came), held_b=None),
         )
     if s.held_c is not None:
         came = replace(s.held_c, age=0)
-        yield "a held beat of C's comes", replace(
-            s, from_c=came, l_relayed=relayed(s, came), held_c=None
+        yield (
+            "a held beat of C's comes",
+            replace(s, from_c=came, l_relayed=relayed(s, came), held_c=None),
         )
 
 
--- a/tests/model/cut_zone.py
+++ b/tests/model/cut_zone.py
@@ -230,9 +230,7 @@
     over = lease_over(m, 0.0, float(LEASE))
     k = contact_of(s)
     if s.bound and over:
-        alone = decide.lease_proves(
-            [k], "west", -float(OLD), s.seen_token, float(LEASE), 0.0
-        )
+        alone = decide.lease_proves([k], "west", -float(OLD), s.seen_token, float(LEASE), 0.0)
         if alone:
             s = replace(s, bound=False)
     if s.cancelled >= 0 and s.told < 0:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -161,8 +161,8 @@
 
 
 def test_the_first_meetings_site_has_long_work_and_many_cancels(tmp_path: Path) -> None:
-    text = "[[jobs]]\nkind = \"service\"\narrivals = { rate = 0.07 }\nrun_s = { median = 500.0 }\n"
-    text += "[[jobs]]\nkind = \"gang\"\nrun_s = { median = 9.0 }\ncancelled = 0.0\ninitial = 8\n"
+    text = '[[jobs]]\nkind = "service"\narrivals = { rate = 0.07 }\nrun_s = { median = 500.0 }\n'
+    text += '[[jobs]]\nkind = "gang"\nrun_s = { median = 9.0 }\ncancelled = 0.0\ninitial = 8\n'
     found = first_meeting.derived(text)
     assert "rate = 1.0000" in found and "median = 60.0" in found and "median = 2000.0" in found
     assert "cancelled = 0.7" in found and "initial = 4" in found
--- a/tests/test_untold.py
+++ b/tests/test_untold.py
@@ -237,9 +237,7 @@
     meanwhile: Callable[["Slow"], None]
     limits = Limits(2_000, 8)
 
-    async def commit(
-        self, conditions: dict[str, int], puts: dict[str, Any], *_: object
-    ) -> bool:
+    async def commit(self, conditions: dict[str, int], puts: dict[str, Any], *_: object) -> bool:
         self.put(puts)
         at = self.revision
         self.meanwhile(self)
