Machines of which nothing changed are not planned for anew

Cause: each report, and each second for every machine, worked out a full plan, and each report rebuilt all its tasks' entries, though most reports say what the one before said. Change: a plan that found nothing to do, with no start, order or kill on its way, settles its machine; tasks reported otherwise, a changed binding, record, job or view, a takeover and the end of a lease unsettle it; while a sibling's beat names cancellations, nothing settles.

--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -40,6 +40,7 @@
     TaskId,
     Wanted,
     absorb,
+    is_settled,
     reconcile,
 )
 
@@ -50,6 +51,10 @@
     """Before anybody listens."""
 
 
+def _exited(entries: dict[TaskId, Entry]) -> set[TaskId]:
+    return {task_id for task_id, entry in entries.items() if entry.state == "exited"}
+
+
 class Workers:
     def __init__(
         self,
@@ -94,10 +99,12 @@
             # A gang's members hang together, and a job's end concerns all its tasks; of any
             # other change the machines concerned are told one by one ("bound").
             if job is not None and (not job.is_open or (job.spec and job.spec.kind == "gang")):
-                self._dirty.update(task.machine for _, task in job.bindings())
-                self._dirty.update(self._reported.get(name, ()))
+                for machine in {task.machine for _, task in job.bindings()}:
+                    self._touch(machine)
+                for machine in self._reported.get(name, ()):
+                    self._touch(machine)
         elif kind in ("machine", "bound"):
-            self._dirty.add(name)
+            self._touch(name)
             record = self._replica.machines.get(name)
             if kind == "machine" and (record is None or record.record.state == "gone"):
                 self._drop(name)
@@ -105,6 +112,13 @@
             self._own()
         self._wake.set()
 
+    def _touch(self, machine: str) -> None:
+        """What a plan for the machine is made from has changed."""
+        self._dirty.add(machine)
+        station = self.stations.get(machine)
+        if station is not None:
+            station.settled = False
+
     def _own(self) -> None:
         """Takes and gives up machines as the view says."""
         token = views.token(self._membership.epoch, 0)
@@ -126,7 +140,8 @@
                 if self._membership.owns(machine, rec.zone):
                     station = self._station(machine, rec.type, rec.zone, rec.spot, token, now)
                     station.addr = rec.addr
-        self._dirty.update(self.stations)
+        for machine in self.stations:
+            self._touch(machine)
 
     def _drop(self, machine: str) -> None:
         """Gives a machine up: another's now, or given back, which is asked in vain if it stays."""
@@ -230,19 +245,19 @@
             before = station.entries
             stood = (station.trusted, station.notice_at is None, self.silent(station))
             fresh = absorb(station, report, now, checkin)
-            if fresh:
+            if fresh and before is not station.entries:
                 self._index(station.id, before, station.entries)
         if not fresh:
             return
-        if before != station.entries:
+        progressed = before is not station.entries and before != station.entries
+        if progressed:
             told.progress(station, before)
-        was = {k for k, e in before.items() if e.state == "exited"}
-        if not checkin or was != {k for k, e in station.entries.items() if e.state == "exited"}:
+        if not checkin or (progressed and _exited(before) != _exited(station.entries)):
             self._dirty.add(station.id)
             self._wake.set()
         # Most reports say nothing new: a credit renewed for each would cost a core.
         stands = (station.trusted, station.notice_at is None, self.silent(station))
-        if before != station.entries or stood != stands:
+        if progressed or stood != stands:
             self.changed(station.id)
 
     def _index(
@@ -283,12 +298,20 @@
             for other in map(job.task, range(job.spec.tasks))
         )
 
+    def _is_settled(self, station: Station, now: float) -> bool:
+        """A cancellation that only a sibling's beat told changes a plan without touching it."""
+        relayed = self._membership.relayed_cancels()
+        return not relayed and is_settled(station, now, self._times.lease_s)
+
     def _plan(self, station: Station) -> Plan:
+        now = self._clock.now()
+        if self._is_settled(station, now):
+            return Plan()
         with self._lock:
             plan = reconcile(
                 station,
                 self._wanted(station),
-                self._clock.now(),
+                now,
                 self._times.lease_s,
                 partial(self._keeping.alone, station),
             )
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -83,6 +83,9 @@
     errors: list[tuple[float, Start]] = field(default_factory=list)
     busy: bool = False  # a direct order is in flight
     unanswered_since: float | None = None  # orders get no answer from then on; None: the last did
+    reported: list[m.ReportedTask] = field(default_factory=list)  # as in the last report taken in
+    # The last full plan found nothing to do, and nothing that it was made from has changed since.
+    settled: bool = False
 
     @property
     def trusted(self) -> bool:
@@ -111,16 +114,11 @@
     elif s.mute_since is None:
         s.mute_since = now
     s.notice_at = now + report.notice_s if report.notice_s is not None else None
-    s.entries = {}
-    for t in report.tasks:
-        try:
-            task_id = m.split_task(t.task)
-        except ValueError:
-            continue
-        why = m.WHY.get(t.why or "", t.why or "")
-        s.entries[task_id] = Entry(t.attempt, m.STATES[t.state], why, bool(t.saved))
-        s.seen.add((*task_id, t.attempt))
+    if report.tasks != s.reported:
+        _take_tasks(s, report.tasks)
     for start, sent in s.sent.items():
+        if sent.settled:
+            continue
         # An order for an earlier session gets 409 whenever it arrives.
         if (
             (new_session and sent.session < report.session and not sent.direct)
@@ -134,6 +132,21 @@
     return True
 
 
+def _take_tasks(s: Station, tasks: list[m.ReportedTask]) -> None:
+    """Most reports name the same tasks in the same states as the one before: only others cost."""
+    s.reported = tasks
+    s.settled = False
+    s.entries = {}
+    for t in tasks:
+        try:
+            task_id = m.split_task(t.task)
+        except ValueError:
+            continue
+        why = m.WHY.get(t.why or "", t.why or "")
+        s.entries[task_id] = Entry(t.attempt, m.STATES[t.state], why, bool(t.saved))
+        s.seen.add((*task_id, t.attempt))
+
+
 def lease_over(s: Station, now: float, lease_s: float) -> bool:
     """The worker must have killed everything: we alone could renew, and did not.
 
@@ -156,6 +169,20 @@
     calls: list[dict[str, Any]] = field(default_factory=list)
     runs: list[Start] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
+    repeats: bool = False  # a kill was given a moment ago and is due again later
+
+    @property
+    def is_empty(self) -> bool:
+        """Nothing to say, to write down, or to come back to though nothing changes."""
+        return not (self.calls or self.runs or self.exits or self.repeats)
+
+
+def is_settled(s: Station, now: float, lease_s: float) -> bool:
+    """Whether a new plan would be as empty as the last one.
+
+    Only time can change it then, and time only ends a lease.
+    """
+    return s.settled and s.trusted and not lease_over(s, now, lease_s)
 
 
 def reconcile(
@@ -170,6 +197,7 @@
     `alone`: whether nobody else can have renewed the machine's lease.
     """
     plan = Plan()
+    s.settled = False  # before trust and after a lease an empty plan says nothing of the next
     if lease_over(s, now, lease_s):
         if not alone():
             return plan
@@ -194,6 +222,9 @@
             plan.calls.append(m.clear(*start))
     for start in [k for k in s.sent if k[:2] not in wanted and s.sent[k].settled]:
         del s.sent[start]
+    # A start that is still on its way, or an order, changes a plan when its outcome is known.
+    on_its_way = s.busy or not all(sent.settled for sent in s.sent.values())
+    s.settled = plan.is_empty and not on_its_way
     return plan
 
 
@@ -241,6 +272,7 @@
 
 def _kill(s: Station, start: Start, grace_s: float, now: float, plan: Plan) -> None:
     key = (start, grace_s > 0)
+    plan.repeats = True
     if now - s.killed_at.get(key, -1e9) < c.KILL_REPEAT_S:
         return
     entry = s.entries[start[:2]]
@@ -260,6 +292,8 @@
     wherever they are started, condemned one healthy machine after the other: as long as a job has
     neither failed elsewhere nor come to an end, it takes one more of its kind.
     """
+    if not s.errors:
+        return False
     s.errors = [(at, start) for at, start in s.errors if now - at < c.SICK_WINDOW_S]
     failed = Counter(start[0] for _, start in s.errors)
     if failed.total() < c.SICK_ERRORS or len(failed) < c.SICK_JOBS:
