Totals and beats cost less: sums kept by credit, amounts packed in pairs, cancelled jobs kept

Change: what may be stopped is summed when a credit is renewed; a full machine raises no image's room; two amounts are packed as one; the replica keeps the cancelled jobs. The bytes on the wire are the same.

--- a/pulleydeal/credits/queue.py
+++ b/pulleydeal/credits/queue.py
@@ -62,6 +62,13 @@
     fetching: frozenset[str] = frozenset()  # on their way; they share the machine's rate
     reserved: TaskId | None = None  # emptied for this task; nobody else may take it
     victims: list[Victim] = field(default_factory=list)
+    # What the victims of priorities below `ROOM_BELOW` take (cpus, gpus): summed once, as totals
+    # are published several times a second and most credits did not change in between.
+    stoppable: tuple[float, float] = field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        lower = [victim.need for victim in self.victims if victim.priority < c.ROOM_BELOW]
+        self.stoppable = (sum(n.cpus for n in lower), sum(n.gpus for n in lower))
 
 
 @dataclass(slots=True)
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -409,7 +409,8 @@
 
     def _publish(self) -> None:
         self._unpublished = False
-        made_for = {key: waiting.ask.need for key, waiting in self._asks.items()}
+        waiting = ((key, self._asks.get(key)) for key in self._reserved_for)
+        made_for = {key: found.ask.need for key, found in waiting if found is not None}
         old, self._published = self._published, totals(self._queue.credits.values(), made_for)
         if old != self._published:
             self._membership.send_beat()  # the signal: credit changed
--- a/pulleydeal/credits/totals.py
+++ b/pulleydeal/credits/totals.py
@@ -28,16 +28,19 @@
         total.largest_cpus = max(total.largest_cpus, cpus)
         total.largest_gpus = max(total.largest_gpus, gpus)
         _note_most(total.images, credit.images, cpus, gpus)
-        lower = [victim.need for victim in credit.victims if victim.priority < c.ROOM_BELOW]
-        cpus += sum(need.cpus for need in lower)
-        gpus += sum(need.gpus for need in lower)
-        _note_most(total.stoppable, credit.images, cpus, gpus)
+        more_cpus, more_gpus = credit.stoppable
+        _note_most(total.stoppable, credit.images, cpus + more_cpus, gpus + more_gpus)
     return list(found.values())
 
 
 def _note_most(most: Images, images: frozenset[str], cpus: float, gpus: float) -> None:
+    """Raises the most room known for each image; a full machine raises nothing."""
+    if cpus <= 0 and gpus <= 0:
+        return
     for image in images:
-        old = most.get(image, (0.0, 0.0))
-        more = old[0] < cpus or old[1] < gpus
-        if more and (image in most or len(most) < c.PUBLISHED_IMAGES):
+        old = most.get(image)
+        if old is None:
+            if len(most) < c.PUBLISHED_IMAGES:
+                most[image] = (cpus, gpus)
+        elif old[0] < cpus or old[1] < gpus:
             most[image] = (max(old[0], cpus), max(old[1], gpus))
--- a/pulleydeal/frames.py
+++ b/pulleydeal/frames.py
@@ -1,12 +1,14 @@
 """Hand-packed binary fields (struct) for what controllers say to each other."""
 
 import struct
+from typing import Any
 
 _U8 = struct.Struct("!B")
 _U16 = struct.Struct("!H")
 _U32 = struct.Struct("!I")
 _U64 = struct.Struct("!Q")
 _F64 = struct.Struct("!d")
+_F64_PAIR = struct.Struct("!dd")
 HEADER = struct.Struct("!IB")  # payload length, message type
 
 
@@ -38,6 +40,10 @@
         self._parts.append(_F64.pack(value))
         return self
 
+    def f64_pair(self, first: float, second: float) -> "Packer":
+        self._parts.append(_F64_PAIR.pack(first, second))
+        return self
+
     def text(self, value: str) -> "Packer":
         data = value.encode()
         self._parts.append(_U16.pack(len(data)) + data)
@@ -62,8 +68,13 @@
         """Whether anything is left: a newer version may have added fields at the end."""
         return self._at < len(self._data)
 
-    def _take(self, form: struct.Struct) -> bytes:
-        return self._raw(form.size)
+    def _take(self, form: struct.Struct) -> tuple[Any, ...]:
+        try:
+            values = form.unpack_from(self._data, self._at)
+        except struct.error:
+            raise BadFrame("frame ends early") from None
+        self._at += form.size
+        return values
 
     def _raw(self, size: int) -> bytes:
         end = self._at + size
@@ -74,19 +85,23 @@
         return piece
 
     def u8(self) -> int:
-        return int(_U8.unpack(self._take(_U8))[0])
+        return int(self._take(_U8)[0])
 
     def u16(self) -> int:
-        return int(_U16.unpack(self._take(_U16))[0])
+        return int(self._take(_U16)[0])
 
     def u32(self) -> int:
-        return int(_U32.unpack(self._take(_U32))[0])
+        return int(self._take(_U32)[0])
 
     def u64(self) -> int:
-        return int(_U64.unpack(self._take(_U64))[0])
+        return int(self._take(_U64)[0])
 
     def f64(self) -> float:
-        return float(_F64.unpack(self._take(_F64))[0])
+        return float(self._take(_F64)[0])
+
+    def f64_pair(self) -> tuple[float, float]:
+        first, second = self._take(_F64_PAIR)
+        return first, second
 
     def text(self) -> str:
         try:
--- a/pulleydeal/membership/messages.py
+++ b/pulleydeal/membership/messages.py
@@ -53,11 +53,11 @@
 def _pack_images(packer: Packer, images: Images) -> None:
     packer.u16(len(images))
     for image, (cpus, gpus) in images.items():
-        packer.text(image).f64(cpus).f64(gpus)
+        packer.text(image).f64_pair(cpus, gpus)
 
 
 def _unpack_images(u: Unpacker) -> Images:
-    return {u.text(): (u.f64(), u.f64()) for _ in range(u.u16())}
+    return {u.text(): u.f64_pair() for _ in range(u.u16())}
 
 
 def pack_beat(beat: Beat) -> bytes:
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -299,11 +299,7 @@
 
     def send_beat(self) -> None:
         cancelled, complete_from = vouching.named(
-            (
-                job
-                for job in map(self._replica.jobs.__getitem__, self._replica.open_jobs)
-                if job.record is not None and job.record.status == "cancelled"
-            ),
+            map(self._replica.jobs.__getitem__, self._replica.cancelled_jobs),
             self._replica.loaded,
         )
         totals = self.totals() if self.is_member else []
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -54,6 +54,8 @@
         self.loaded = False
         self.jobs: dict[str, Job] = {}
         self.open_jobs: set[str] = set()
+        # Cancelled ones of these: tasks of theirs are not proved gone.
+        self.cancelled_jobs: set[str] = set()
         self.machines: dict[str, Machine] = {}
         self.rentals: dict[str, Rental] = {}
         self.members: dict[str, str] = {}
@@ -222,6 +224,10 @@
             self.open_jobs.discard(job_id)
         else:
             self.open_jobs.add(job_id)
+        if record.spec is not None and record.status == "cancelled":
+            self.cancelled_jobs.add(job_id)
+        else:
+            self.cancelled_jobs.discard(job_id)
         self._account(job, -job.bound)
         job.version = version
         job.record = record
