--- a/experiments/profile.py
+++ b/experiments/profile.py
@@ -36,7 +36,7 @@
     "Client.send (pulleydeal/http.py)": "orders and state calls",
     "Workers._plan (pulleydeal/workers/service.py)": "reports of machines that changed",
     "Workers.work (pulleydeal/workers/service.py)": "machines, each second; changes",
-    "Going.tend (pulleydeal/workers/going.py)": "machines, twice a second",
+    "Eviction.tend (pulleydeal/workers/eviction.py)": "machines, twice a second",
     "Credits.work (pulleydeal/credits/service.py)": "rounds, changed machines, asks",
     "Credits._publish (pulleydeal/credits/service.py)": "machines with credit, five times a second",
     "totals (pulleydeal/credits/totals.py)": "machines with credit, five times a second",
--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -26,7 +26,7 @@
 from pulleydeal.store.replica import Replica
 from pulleydeal.store.service import Store, forever
 from pulleydeal.submissions.service import Submissions
-from pulleydeal.workers.going import Going
+from pulleydeal.workers.eviction import Eviction
 from pulleydeal.workers.service import Workers
 from pulleydeal.workers.station import Station
 
@@ -62,7 +62,7 @@
         self.workers = Workers(
             self.membership, self.store, deployment.workers, clock, self.metrics, stations, kept
         )
-        self.going = Going(
+        self.eviction = Eviction(
             self.membership,
             self.store,
             deployment.workers,
@@ -77,7 +77,7 @@
             self.siblings,
             self.replica,
             self.workers,
-            self.going,
+            self.eviction,
             teams,
             deployment.objectives,
             clock,
@@ -106,7 +106,7 @@
             clock,
             limits,
             policy,
-            self.going.unseen_zones,
+            self.eviction.unseen_zones,
             kept,
         )
         self.submissions = Submissions(
@@ -182,7 +182,7 @@
             "view": self.membership.tend,
             "beat": self.membership.beat,
             "workers": self.workers.work,
-            "machines": self.going.tend,
+            "machines": self.eviction.tend,
             "credits": self.credits.work,
             "placement": self.placement.work,
             "catalogue": self.types.catalog,
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -38,7 +38,7 @@
 from pulleydeal.store import records as r
 from pulleydeal.store.reasons import made_room
 from pulleydeal.store.replica import Replica
-from pulleydeal.workers.going import Going
+from pulleydeal.workers.eviction import Eviction
 from pulleydeal.workers.service import Workers
 from pulleydeal.workers.station import Station
 
@@ -63,7 +63,7 @@
         siblings: Siblings,
         replica: Replica,
         workers: Workers,
-        going: Going,
+        eviction: Eviction,
         teams: dict[str, Team],
         objectives: list[Objective],
         clock: Clock,
@@ -74,7 +74,7 @@
         self._siblings = siblings
         self._replica = replica
         self._workers = workers
-        self._going = going
+        self._eviction = eviction
         self._teams = teams
         self._clock = clock
         self._metrics = metrics
@@ -293,7 +293,7 @@
                 self._published_at = now
                 self._publish()
         for victim, why in stops:
-            self._going.stop(victim.job, victim.index, victim.attempt, why)
+            self._eviction.stop(victim.job, victim.index, victim.attempt, why)
         await asyncio.sleep(c.ROUND_SPACING_S)  # let changes of one moment share a round
 
     def _serve_all(self, changed: list[Credit], now: float) -> list[tuple[Victim, str]]:
--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -19,7 +19,7 @@
 from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Machine
 from pulleydeal.store.service import Store
-from pulleydeal.workers.going import IDLE
+from pulleydeal.workers.eviction import IDLE
 from pulleydeal.workers.keeping import OUT_OF_SIGHT, Keeping
 
 log = logging.getLogger("pulleydeal.fleet")
--- a/pulleydeal/workers/going.py
+++ b/pulleydeal/workers/eviction.py
@@ -18,7 +18,7 @@
 from pulleydeal.workers.changes import apply_stop
 from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.orders import Orders
-from pulleydeal.workers.sight import (
+from pulleydeal.workers.reachability import (
     one_way_for_long,
     out_of_sight,
     silent_for_long,
@@ -30,7 +30,7 @@
 IDLE = "idle"  # why a machine goes that nothing needs
 
 
-class Going:
+class Eviction:
     def __init__(
         self,
         membership: Membership,
--- a/pulleydeal/workers/keeping.py
+++ b/pulleydeal/workers/keeping.py
@@ -6,7 +6,7 @@
 
 from pulleydeal.store.job import Job
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.sight import Seen
+from pulleydeal.workers.reachability import Seen
 from pulleydeal.workers.station import Station
 
 # Why machines out of sight are given back, with all that is on them.
--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -10,7 +10,7 @@
 from pulleydeal.clock import Clock
 from pulleydeal.http import MALFORMED, Client, NoAnswer
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.lives import Known, known
+from pulleydeal.workers.incarnation import Known, known
 from pulleydeal.workers.station import Start, Station
 
 log = logging.getLogger("pulleydeal.workers")
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -23,13 +23,13 @@
 from pulleydeal.store.rate import Turn
 from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
-from pulleydeal.workers import lives, told
+from pulleydeal.workers import incarnation, task_log
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.adopting import Adopting
 from pulleydeal.workers.changes import apply_exit
 from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.orders import Orders
-from pulleydeal.workers.sight import silent_s, unsignalled_s
+from pulleydeal.workers.reachability import silent_s, unsignalled_s
 from pulleydeal.workers.station import (
     Entry,
     Exit,
@@ -208,7 +208,7 @@
         if report.token > self.token(station):
             # Somebody newer commands this machine: our view is old, or will soon be.
             return answer(421, m.redirect(""))
-        if lives.doubtful(station, report, self._clock.now()):
+        if incarnation.doubtful(station, report, self._clock.now()):
             self.orders.probe(station)
             return self._commands(station, [])
         self._take(station, report, checkin=True)
@@ -251,7 +251,7 @@
             return
         progressed = before is not station.entries and before != station.entries
         if progressed:
-            told.progress(station, before)
+            task_log.progress(station, before)
         if not checkin or (progressed and _exited(before) != _exited(station.entries)):
             self._dirty.add(station.id)
             self._wake.set()
@@ -361,7 +361,7 @@
 
     def _starts(self, station: Station, start: Start, how: str) -> None:
         self._metrics.starts.inc()
-        told.run(station, start, how, self._membership.epoch)
+        task_log.run(station, start, how, self._membership.epoch)
 
     # --- direct orders ----------------------------------------------------------------------
     async def work(self) -> None:
@@ -404,14 +404,14 @@
             self.orders.give(station, urgent, plan.runs)
 
     def _answer_of_order(
-        self, station: Station, report: m.Report, known: lives.Known | None
+        self, station: Station, report: m.Report, known: incarnation.Known | None
     ) -> None:
         if self.stations.get(station.id) is not station:
             return
-        if lives.begins_anew(known, report):
+        if incarnation.begins_anew(known, report):
             log.info("machine %s is back without its tasks", station.id)
             token = views.token(self._membership.epoch, station.fence + 1)
-            new = lives.next_life(station, self._bound(station.id), token, self._clock.now())
+            new = incarnation.next_life(station, self._bound(station.id), token, self._clock.now())
             with self._lock:
                 self.stations[station.id] = new
                 self._index(station.id, station.entries, {})
--- a/pulleydeal/zones/hearing.py
+++ b/pulleydeal/zones/hearing.py
@@ -6,7 +6,7 @@
 from pulleydeal import constants as c
 from pulleydeal.features.ground import Ground
 from pulleydeal.http import Client, NoAnswer
-from pulleydeal.workers.sight import Seen, seen
+from pulleydeal.workers.reachability import Seen, seen
 from pulleydeal.zones import constants as z
 from pulleydeal.zones import losses
 
--- a/pulleydeal/zones/losses.py
+++ b/pulleydeal/zones/losses.py
@@ -10,7 +10,7 @@
 from typing import Literal
 
 from pulleydeal import constants as c
-from pulleydeal.workers.sight import Seen
+from pulleydeal.workers.reachability import Seen
 from pulleydeal.zones import constants as z
 
 State = Literal["whole", "cut off", "dark", "returning"]
--- a/pulleydeal/zones/messages.py
+++ b/pulleydeal/zones/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from pulleydeal.frames import Packer, Unpacker
-from pulleydeal.workers.sight import Seen
+from pulleydeal.workers.reachability import Seen
 
 STANDING = 7  # message type on `back`; the others are in membership/messages.py
 
--- a/pulleydeal/zones/service.py
+++ b/pulleydeal/zones/service.py
@@ -12,7 +12,7 @@
 from pulleydeal.store.job import Job
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.keeping import Keeping
-from pulleydeal.workers.sight import Seen, seen
+from pulleydeal.workers.reachability import Seen, seen
 from pulleydeal.workers.station import Station
 from pulleydeal.zones import constants as z
 from pulleydeal.zones import decide, losses
--- a/pulleydeal/zones/watch.py
+++ b/pulleydeal/zones/watch.py
@@ -6,7 +6,7 @@
 from pulleydeal.features.ground import Ground
 from pulleydeal.store.job import Job
 from pulleydeal.workers.keeping import DARK, EVACUATED, UNTOLD
-from pulleydeal.workers.sight import Seen, out_of_sight
+from pulleydeal.workers.reachability import Seen, out_of_sight
 from pulleydeal.zones import constants as z
 from pulleydeal.zones import losses
 from pulleydeal.zones.decide import Contact
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -4,7 +4,7 @@
 
 from pulleydeal import constants as c
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.sight import (
+from pulleydeal.workers.reachability import (
     one_way_for_long,
     out_of_sight,
     silent_for_long,
--- a/tests/test_station.py
+++ b/tests/test_station.py
@@ -6,7 +6,7 @@
 
 from pulleydeal.store.records import JobSpec, Task
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.sight import one_way_for_long
+from pulleydeal.workers.reachability import one_way_for_long
 from pulleydeal.workers.station import Sent, Start, Station, Wanted, absorb, reconcile
 
 LEASE_S = 14.0
