--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -8,7 +8,7 @@
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.credits.service import Credits
-from pulleydeal.features.ground import Ground, Service
+from pulleydeal.features.context import FeatureContext, Service
 from pulleydeal.features.settings import Features
 from pulleydeal.features.switch import keeping, switched_on
 from pulleydeal.fleet.cloud import Cloud
@@ -55,10 +55,10 @@
         self.membership = Membership(settings, self.store, self.siblings, clock, rng)
         teams, zones = settings.teams, deployment.zones
         stations: dict[str, Station] = {}
-        ground = Ground(
+        context = FeatureContext(
             self.membership, self.siblings, self.store, clock, self.metrics, deployment, stations
         )
-        kept, found = keeping(features, ground)
+        kept, found = keeping(features, context)
         self.workers = Workers(
             self.membership, self.store, deployment.workers, clock, self.metrics, stations, kept
         )
--- a/pulleydeal/features/__init__.py
+++ b/pulleydeal/features/__init__.py
@@ -1,1 +1,1 @@
-"""What is switched on in `deploy/features.toml`, and the ground that such parts share."""
+"""What is switched on in `deploy/features.toml`, and the context that such parts share."""
--- a/pulleydeal/features/ground.py
+++ b/pulleydeal/features/context.py
@@ -37,7 +37,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ground:
+class FeatureContext:
     """What is there before the slices that work with machines and users are built."""
 
     membership: Membership
@@ -54,7 +54,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Service(Ground):
+class Service(FeatureContext):
     """The whole node, for what stands on it."""
 
     teams: dict[str, Team]
--- a/pulleydeal/features/switch.py
+++ b/pulleydeal/features/switch.py
@@ -1,17 +1,17 @@
 """Starts what is switched on, and imports nothing else."""
 
-from pulleydeal.features.ground import Feature, Ground, Service
+from pulleydeal.features.context import Feature, FeatureContext, Service
 from pulleydeal.features.settings import Features
 from pulleydeal.workers.keeping import Keeping
 
 
-def keeping(features: Features, ground: Ground) -> tuple[Keeping, list[Feature]]:
+def keeping(features: Features, context: FeatureContext) -> tuple[Keeping, list[Feature]]:
     """Who may renew, prove and tell; and the feature that says so, if one is on."""
     if features.zones is None:
         return Keeping(), []
     from pulleydeal.zones.service import Zones
 
-    zones = Zones(ground)
+    zones = Zones(context)
     return zones, [zones]
 
 
--- a/pulleydeal/operators/service.py
+++ b/pulleydeal/operators/service.py
@@ -8,7 +8,7 @@
 
 from pulleydeal import __version__, logs
 from pulleydeal.features import constants as fc
-from pulleydeal.features.ground import Handler, Service, Step
+from pulleydeal.features.context import Handler, Service, Step
 from pulleydeal.features.routes import Asked, Problem, Route, Table, page
 from pulleydeal.features.settings import Features
 from pulleydeal.http import Request, Response, Server, answer
--- a/pulleydeal/recurring/service.py
+++ b/pulleydeal/recurring/service.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import Histogram
 
-from pulleydeal.features.ground import Handler, Service, Step
+from pulleydeal.features.context import Handler, Service, Step
 from pulleydeal.features.records import Records
 from pulleydeal.features.routes import Route
 from pulleydeal.recurring import constants as kc
--- a/pulleydeal/rollouts/interface.py
+++ b/pulleydeal/rollouts/interface.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from pulleydeal.features.ground import Handler
+from pulleydeal.features.context import Handler
 from pulleydeal.features.routes import Asked, Problem, Route, page
 from pulleydeal.http import MALFORMED, Request, Response, answer
 from pulleydeal.rollouts import constants as rc
--- a/pulleydeal/rollouts/service.py
+++ b/pulleydeal/rollouts/service.py
@@ -5,7 +5,7 @@
 from typing import TypeVar
 
 from pulleydeal.background import Background
-from pulleydeal.features.ground import Handler, Service, Step
+from pulleydeal.features.context import Handler, Service, Step
 from pulleydeal.features.records import Records
 from pulleydeal.features.routes import Route
 from pulleydeal.rollouts import constants as rc
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -12,7 +12,7 @@
 from pulleydeal.http import MALFORMED, Client, NoAnswer
 from pulleydeal.settings import StateLimits
 from pulleydeal.store import messages as m
-from pulleydeal.store.rate import Rate, Turn, Turnstile
+from pulleydeal.store.rate import Rate, Turn, WriteScheduler
 from pulleydeal.store.records import NOTHING
 
 log = logging.getLogger("pulleydeal.store")
@@ -59,7 +59,7 @@
         self._refused_at: deque[float] = deque(maxlen=c.REFUSED_WRITES)
         self._nodes = nodes
         self._writes = Rate(self._write_rps / nodes, clock)
-        self._turnstile = Turnstile(self._writes, clock)
+        self._write_scheduler = WriteScheduler(self._writes, clock)
         self.requests = 0
         self.written = 0
         self.refusals = 0
@@ -146,7 +146,7 @@
 
     def first_wait_s(self) -> float:
         """How long a write that goes first would wait now."""
-        return self._turnstile.first_wait_s()
+        return self._write_scheduler.first_wait_s()
 
     @property
     def writes_per_s(self) -> float:
@@ -154,7 +154,7 @@
 
     async def may_write(self, turn: Turn) -> None:
         """Returns when a commit may be made; the caller makes it before it awaits anything else."""
-        await self._turnstile.wait(turn)
+        await self._write_scheduler.wait(turn)
 
     async def commit(
         self, conditions: dict[str, int], changes: list[dict[str, Any]]
--- a/pulleydeal/store/rate.py
+++ b/pulleydeal/store/rate.py
@@ -66,7 +66,7 @@
         self._have -= amount
 
 
-class Turnstile:
+class WriteScheduler:
     """Lets writers through one by one, as the budget allows; what it costs is known only then.
 
     Each works out what to write when its turn comes, so that all that has gathered goes into one
--- a/pulleydeal/zones/hearing.py
+++ b/pulleydeal/zones/hearing.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from pulleydeal import constants as c
-from pulleydeal.features.ground import Ground
+from pulleydeal.features.context import FeatureContext
 from pulleydeal.http import Client, NoAnswer
 from pulleydeal.workers.reachability import Seen, seen
 from pulleydeal.zones import constants as z
@@ -16,13 +16,16 @@
     is remembered here, and begins anew with the node."""
 
     def __init__(
-        self, ground: Ground, others_see: Callable[[], list[Seen]], all_on: Callable[[], bool]
+        self,
+        context: FeatureContext,
+        others_see: Callable[[], list[Seen]],
+        all_on: Callable[[], bool],
     ) -> None:
-        self._ground = ground
-        self._membership = ground.membership
+        self._context = context
+        self._membership = context.membership
         self._others_see = others_see
         self._all_on = all_on
-        self._zones = {zone: losses.Deafness() for zone in ground.deployment.zones}
+        self._zones = {zone: losses.Deafness() for zone in context.deployment.zones}
 
     async def work(self) -> None:
         """One round; run for ever."""
@@ -30,8 +33,8 @@
         if not self._membership.is_member or not self._all_on():
             return
         deaf = {zone for m, zone in self._membership.view.deaf if m == self._membership.me}
-        stations = list(self._ground.stations.values())
-        now, report_s = self._ground.clock.now(), self._ground.deployment.workers.report_s
+        stations = list(self._context.stations.values())
+        now, report_s = self._context.clock.now(), self._context.deployment.workers.report_s
         alone = losses.unheard(seen(stations, now, report_s), self._others_see(), deaf)
         over = {
             zone
@@ -47,7 +50,7 @@
     async def _take_back(self, deaf: set[str]) -> None:
         zones = sorted(deaf)
         answers = await asyncio.gather(*(self._answers(zone) for zone in zones))
-        now = self._ground.clock.now()
+        now = self._context.clock.now()
         heard = {
             zone
             for zone, answered in zip(zones, answers, strict=True)
@@ -60,7 +63,7 @@
         """Whether machines there can be reached from here; they are not commanded."""
         machines = [
             m.record.addr
-            for _, m in sorted(self._ground.replica.machines.items())
+            for _, m in sorted(self._context.replica.machines.items())
             if m.record.zone == zone and m.record.state == "up" and m.record.addr
         ]
         step = max(1, len(machines) // z.HEAR_PROBES)
@@ -70,7 +73,7 @@
         return sum(answers) * 2 >= len(answers)
 
     async def _inspect(self, addr: str) -> bool:
-        client = Client(addr, self._ground.clock)
+        client = Client(addr, self._context.clock)
         try:
             status, _ = await client.request("GET", "/inspect", None, c.PROBE_TIMEOUT_S)
         except NoAnswer:
--- a/pulleydeal/zones/service.py
+++ b/pulleydeal/zones/service.py
@@ -7,7 +7,7 @@
 from prometheus_client import Counter, Gauge
 
 from pulleydeal import constants as c
-from pulleydeal.features.ground import Ground, Handler, Step
+from pulleydeal.features.context import FeatureContext, Handler, Step
 from pulleydeal.features.routes import Route
 from pulleydeal.store.job import Job
 from pulleydeal.workers import messages as m
@@ -24,14 +24,14 @@
 
 
 class Zones(Keeping):
-    def __init__(self, ground: Ground) -> None:
-        self._membership = ground.membership
-        self._siblings = ground.siblings
-        self._store = ground.store
-        self._replica = ground.replica
-        self._clock = ground.clock
-        self._times = ground.deployment.workers
-        self._stations = ground.stations
+    def __init__(self, context: FeatureContext) -> None:
+        self._membership = context.membership
+        self._siblings = context.siblings
+        self._store = context.store
+        self._replica = context.replica
+        self._clock = context.clock
+        self._times = context.deployment.workers
+        self._stations = context.stations
         me = self._membership.me
         self._zone = self._membership.zone_of(me)
         now = self._clock.now()
@@ -46,7 +46,7 @@
         self._unserved_at = now  # when the state service last did not answer this node
         self._said_at = -1e9
         self._keeping = False
-        registry = ground.metrics.registry
+        registry = context.metrics.registry
         self._kept = Counter(
             "pulleydeal_leases_kept",
             "Check-ins of others' machines answered in a cut-off zone",
@@ -71,8 +71,8 @@
                 self._times.lease_s,
                 self._times.cancel_s,
             )
-        self._watch = Watch(ground, self._contacts, self.others_see, self.may_tell)
-        self._hearing = Hearing(ground, self.others_see, self._all_on)
+        self._watch = Watch(context, self._contacts, self.others_see, self.may_tell)
+        self._hearing = Hearing(context, self.others_see, self._all_on)
         self._siblings.on(STANDING, self._on_standing)
         self._replica.listen(self._on_change)
 
--- a/pulleydeal/zones/watch.py
+++ b/pulleydeal/zones/watch.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from pulleydeal.features.ground import Ground
+from pulleydeal.features.context import FeatureContext
 from pulleydeal.store.job import Job
 from pulleydeal.workers.keeping import DARK, EVACUATED, UNTOLD
 from pulleydeal.workers.reachability import Seen, out_of_sight
@@ -20,24 +20,24 @@
 
     def __init__(
         self,
-        ground: Ground,
+        context: FeatureContext,
         contacts: dict[str, Contact],
         others_see: Callable[[], list[Seen]],
         may_tell: Callable[[Job], bool],
     ) -> None:
-        self._ground = ground
-        self._replica = ground.replica
+        self._context = context
+        self._replica = context.replica
         self._contacts = contacts
         self._others_see = others_see
         self._may_tell = may_tell
-        self._zones = {zone: losses.Watched() for zone in ground.deployment.zones}
+        self._zones = {zone: losses.Watched() for zone in context.deployment.zones}
         self._told: dict[str, losses.State] = {}
 
     def look(self) -> None:
         """One round; called as often as nodes tell each other what they see."""
-        now = self._ground.clock.now()
-        stations = list(self._ground.stations.values())
-        report_s = self._ground.deployment.workers.report_s
+        now = self._context.clock.now()
+        stations = list(self._context.stations.values())
+        report_s = self._context.deployment.workers.report_s
         unseen = out_of_sight(stations, now, report_s, self._others_see())
         for zone, watched in self._zones.items():
             watched.look(zone in unseen, now, lambda zone=zone: self._inside(zone))  # type: ignore[misc]
@@ -48,8 +48,8 @@
 
     def _inside(self, zone: str) -> frozenset[str]:
         """Nodes of a zone that may be keeping its leases when it falls silent."""
-        lease_s = self._ground.deployment.workers.lease_s
-        now, watched = self._ground.clock.now(), self._zones[zone]
+        lease_s = self._context.deployment.workers.lease_s
+        now, watched = self._context.clock.now(), self._zones[zone]
         return frozenset(
             node
             for node, contact in self._contacts.items()
@@ -60,7 +60,7 @@
         )
 
     def distrusted(self) -> set[str]:
-        now = self._ground.clock.now()
+        now = self._context.clock.now()
         return {
             zone for zone, watched in self._zones.items() if losses.state(watched, now) != "whole"
         }
@@ -69,11 +69,11 @@
     def owed(self) -> dict[str, str]:
         """Machine -> why, in the order in which they go."""
         found = dict.fromkeys(self._untold(), UNTOLD)
-        now = self._ground.clock.now()
+        now = self._context.clock.now()
         for zone, watched in self._zones.items():
             if watched.fell_at is None:
                 continue
-            lease_s = self._ground.deployment.workers.lease_s
+            lease_s = self._context.deployment.workers.lease_s
             if now - watched.fell_at <= lease_s:
                 continue
             there = self._lost(zone)
@@ -89,7 +89,7 @@
     def _untold(self) -> list[str]:
         """Machines with a cancelled job's tasks that nobody can be told of: they are given back
         in time for its user, who repeats the question, to hear that it is cancelled."""
-        wall = self._ground.clock.wall()
+        wall = self._context.clock.wall()
         found = []
         for name in self._replica.open_jobs:
             job = self._replica.jobs[name]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from pulleydeal import constants as c
-from pulleydeal.store.rate import Rate, Turn, Turnstile
+from pulleydeal.store.rate import Rate, Turn, WriteScheduler
 from pulleydeal.submissions.admission import Admission
 from standins.script import LoopClock, virtually
 
@@ -39,18 +39,18 @@
     async def work(clock: LoopClock) -> None:
         nonlocal let_in, refused
         rate = Rate(16.0, clock)
-        turnstile = Turnstile(rate, clock)
+        scheduler = WriteScheduler(rate, clock)
         admission = Admission()
 
         async def write() -> None:
             came = clock.now()
-            await turnstile.wait(Turn.FIRST)
+            await scheduler.wait(Turn.FIRST)
             rate.spend(1)
             waits.append(clock.now() - came)
 
         writes = []
         for _ in range(1600):
-            if admission.refused_for_s(clock.now(), turnstile.first_wait_s(), 16.0) is None:
+            if admission.refused_for_s(clock.now(), scheduler.first_wait_s(), 16.0) is None:
                 writes.append(asyncio.ensure_future(write()))
                 let_in += 1
             else:
@@ -69,10 +69,10 @@
 
     async def work(clock: LoopClock) -> None:
         rate = Rate(10.0, clock)
-        turnstile = Turnstile(rate, clock)
+        scheduler = WriteScheduler(rate, clock)
 
         async def write(turn: Turn) -> None:
-            await turnstile.wait(turn)
+            await scheduler.wait(turn)
             rate.spend(1)
             order.append(turn)
 
--- a/tests/test_rate.py
+++ b/tests/test_rate.py
@@ -7,7 +7,7 @@
 from pulleydeal import constants as c
 from pulleydeal.settings import NextLimits, StateLimits
 from pulleydeal.store.client import StateClient
-from pulleydeal.store.rate import Rate, Turn, Turnstile
+from pulleydeal.store.rate import Rate, Turn, WriteScheduler
 from standins.script import LoopClock, virtually
 
 
@@ -16,10 +16,10 @@
 
     async def work(clock: LoopClock) -> None:
         rate = Rate(10.0, clock)
-        turnstile = Turnstile(rate, clock)
+        scheduler = WriteScheduler(rate, clock)
 
         async def write(name: str, changes: int) -> None:
-            await turnstile.wait(Turn.WORK)
+            await scheduler.wait(Turn.WORK)
             rate.spend(changes)
             order.append(name)
 
@@ -37,10 +37,10 @@
 
     async def work(clock: LoopClock) -> None:
         rate = Rate(4.0, clock)
-        turnstile = Turnstile(rate, clock)
+        scheduler = WriteScheduler(rate, clock)
 
         async def write(name: str, turn: Turn) -> None:
-            await turnstile.wait(turn)
+            await scheduler.wait(turn)
             rate.spend(1)
             order.append(name)
 
