--- /dev/null
+++ b/experiments/memory.py
@@ -0,0 +1,125 @@
+"""Bytes that a node keeps for each thing it knows: traced allocations of its own structures."""
+
+import asyncio
+import gc
+import tracemalloc
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from experiments.scale_plan import Size as ScaleSize
+from experiments.scale_plan import held_jobs, spec_of
+from pulleydeal import constants as c
+from pulleydeal.http import Request, Response, Server, answer
+from pulleydeal.store import messages as m
+from pulleydeal.store import records as r
+from pulleydeal.store.replica import Replica
+from standins.town import LOCAL, free_port
+
+THINGS = 1_000
+CONNECTIONS = 200
+
+
+def _entry(key: str, value: object, version: int) -> m.Entry:
+    return m.Entry(key, msgspec.Raw(msgspec.json.encode(value)), version)
+
+
+def _grown(load: Callable[[], object]) -> int:
+    """Bytes that are still held after `load`, beside what it returns."""
+    gc.collect()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = load()
+    gc.collect()
+    grown = tracemalloc.get_traced_memory()[0] - before
+    del kept
+    return grown
+
+
+def _replica_bytes(entries: list[m.Entry], replica: Replica) -> float:
+    return _grown(lambda: replica.load(entries)) / THINGS
+
+
+def replica_rows() -> list[dict[str, Any]]:
+    """What the watched copy keeps for a machine, a job, a task."""
+    wall = 1e9
+    bodies = list(held_jobs(ScaleSize(workers=THINGS, tasks_per_worker=c.CHUNK_TASKS)).values())
+    machine = r.MachineRecord("up", "h64", "east", False, "10.1.0.1:9000", wall)
+    replica = Replica()
+    found = {
+        "a machine": _replica_bytes(
+            [_entry(r.machine_key(f"vm-{i:06d}"), machine, 1) for i in range(THINGS)], replica
+        ),
+        "an open job": _replica_bytes(
+            [
+                _entry(
+                    r.job_key(b["name_id"]), r.JobRecord("open", b["lifts"], wall, spec_of(b)), 2
+                )
+                for b in bodies[:THINGS]
+            ],
+            replica,
+        ),
+        "a bound task": _replica_bytes(
+            [
+                _entry(
+                    r.chunk_key(body["name_id"], 0),
+                    [r.Task(f"vm-{i:06d}", 1)] * c.CHUNK_TASKS,
+                    3,
+                )
+                for i, body in enumerate(bodies[:THINGS])
+            ],
+            replica,
+        )
+        / c.CHUNK_TASKS,
+        "a job that is over": _replica_bytes(
+            [
+                _entry(r.job_key(f"j-{5_000_000 + i}"), r.JobRecord("done", 8, wall), 4)
+                for i in range(THINGS)
+            ],
+            replica,
+        ),
+    }
+    return [{"kept for": thing, "bytes": round(size)} for thing, size in found.items()]
+
+
+async def _idle_connections() -> float:
+    async def handle(_: Request) -> Response:
+        return answer(200, {})
+
+    server = Server(handle, 10 * CONNECTIONS)
+    port = free_port()
+    await server.start(f"{LOCAL}:{port}")
+    writers: list[asyncio.StreamWriter] = []
+
+    async def connect() -> None:
+        for _ in range(CONNECTIONS):
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n")
+            await reader.readuntil(b"{}")
+            writers.append(writer)
+
+    grown = await _grown_async(connect)
+    for writer in writers:
+        writer.close()
+    await server.close()
+    return grown / CONNECTIONS
+
+
+async def _grown_async(load: Callable[[], Awaitable[None]]) -> int:
+    gc.collect()
+    before = tracemalloc.get_traced_memory()[0]
+    await load()
+    gc.collect()
+    return tracemalloc.get_traced_memory()[0] - before
+
+
+async def rows() -> list[dict[str, Any]]:
+    """Bytes a thing, by traced allocations: what the allocator adds is not in them."""
+    tracemalloc.start()
+    try:
+        found = replica_rows()
+        both_ends = await _idle_connections()
+    finally:
+        tracemalloc.stop()
+    found.append({"kept for": "a connection, both ends", "bytes": round(both_ends)})
+    return found
--- a/experiments/profile.py
+++ b/experiments/profile.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from experiments import memory
 from experiments.report import Report
 from experiments.scale_cell import Cell
 from experiments.scale_plan import Size
@@ -156,6 +157,8 @@
         f" {row['starts/s']:.1f} starts and {row['reports/s']:.1f} reports a second,"
         f" {row['cores of all nodes']:.3f} cores; {profile.samples} samples, waiting left out"
     )
+    report.details = await memory.rows()
+    report.notes += [f"{row['bytes']:,} B for {row['kept for']}" for row in report.details]
     report.bound("all three nodes were sampled", profile.samples > 0)
     report.bound("no rule broken", row["rules broken"] == 0)
     return report
--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -8,13 +8,14 @@
 from pulleydeal import constants as c
 from pulleydeal.clock import Clock
 from pulleydeal.credits.service import Credits
-from pulleydeal.features.context import FeatureContext, Service
+from pulleydeal.features.context import FeatureContext, Service, Step
 from pulleydeal.features.settings import Features
 from pulleydeal.features.switch import keeping, switched_on
 from pulleydeal.fleet.cloud import Cloud
 from pulleydeal.fleet.service import Fleet
 from pulleydeal.fleet.types import Types
 from pulleydeal.http import Request, Response, Server, answer
+from pulleydeal.lateness import Lateness, Precedence
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
@@ -48,6 +49,7 @@
         limits = deployment.state
         self._settings = settings
         self.metrics = Metrics()
+        self.lateness = Lateness(clock)
         self.client = StateClient(settings.endpoints.state, clock, limits, nodes)
         self.replica = Replica()
         self.store = Store(self.client, self.replica, clock, rng, tightest(limits))
@@ -120,7 +122,12 @@
             kept,
         )
         sockets = int(deployment.machine_limits.max_sockets * c.SOCKET_SHARE_SERVER)
-        self.server = Server(self.handle, sockets, crowd="/submissions")
+        self.server = Server(
+            self.handle,
+            sockets,
+            crowd="/submissions",
+            crowd_at_once=self.lateness.users_at_once,
+        )
 
         service = Service(
             self.membership,
@@ -163,9 +170,41 @@
         self.metrics.store_requests.set(self.client.requests)
         self.metrics.store_refusals.set(self.client.refusals)
         self.metrics.strangers.set(self.siblings.strangers)
+        self.metrics.loop_late.set(self.lateness.late_s)
         self.metrics.checkin_age.set(self.workers.oldest_report_s())
         return self.metrics.text()
 
+    def _put_off(self, precedence: Precedence, step: Step) -> Step:
+        """The step, each time after the pause that the node's lateness asks of it."""
+
+        async def later() -> None:
+            pause_s = self.lateness.pause_s(precedence)
+            if pause_s > 0:
+                await asyncio.sleep(pause_s)
+            await step()
+
+        return later
+
+    def _loops(self) -> dict[str, Step]:
+        placement = {"credits": self.credits.work, "placement": self.placement.work}
+        upkeep = {
+            "catalogue": self.types.catalog,
+            "rent": self.fleet.rent,
+            "return": self.fleet.give_back,
+            "list": self.fleet.listing,
+        }
+        return {
+            "lateness": self.lateness.watch,
+            "follow": self.store.follow,
+            "membership": self.membership.keep,
+            "view": self.membership.tend,
+            "beat": self.membership.beat,
+            "workers": self.workers.work,
+            "machines": self.eviction.tend,
+            **{k: self._put_off(Precedence.PLACEMENT, step) for k, step in placement.items()},
+            **{k: self._put_off(Precedence.UPKEEP, step) for k, step in upkeep.items()},
+        }
+
     async def run(self) -> None:
         await self.server.start(self._settings.api_addr)
         await self.siblings.start()
@@ -176,20 +215,7 @@
             self._settings.zone,
             self._settings.api_addr,
         )
-        loops = {
-            "follow": self.store.follow,
-            "membership": self.membership.keep,
-            "view": self.membership.tend,
-            "beat": self.membership.beat,
-            "workers": self.workers.work,
-            "machines": self.eviction.tend,
-            "credits": self.credits.work,
-            "placement": self.placement.work,
-            "catalogue": self.types.catalog,
-            "rent": self.fleet.rent,
-            "return": self.fleet.give_back,
-            "list": self.fleet.listing,
-        }
+        loops = self._loops()
         loops |= {f"link to {link.name}": link.run for link in self.siblings.links()}
         for feature in self.features:
             await feature.start()
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -163,5 +163,13 @@
 EXPRESSION_DEPTH = 20  # deepest nesting: bounds the checker's and the evaluation's stack
 EXPRESSION_MOST = 1e12  # largest literal: far above any amount here
 
+# --- Short processor time -----------------------------------------------------------------
+LATENESS_LOOK_S = 0.25  # how often the loop's lateness is measured: twice a heartbeat
+LATE_UPKEEP_S = 0.25  # from this lateness on the fleet's plans wait: nobody misses one
+LATE_PLACEMENT_S = 0.5  # and from this one placement: a machine's answer waits 4 s at most
+LATE_USERS_S = 1.0  # and from this one most users are sent away: they wait 2 s for a poll
+LATE_CROWD_AT_ONCE = 4  # but so many are still answered, whichever nodes are late
+LATE_PAUSE_MOST_S = 2.0  # longest pause of a round that is put off: below ASK_TTL_S
+
 # --- Loops --------------------------------------------------------------------------------
 LOOP_PAUSE_S = 0.5  # a loop that failed is tried again after this
--- a/pulleydeal/http.py
+++ b/pulleydeal/http.py
@@ -58,8 +58,16 @@
     connections and a number of places, so that all others still get through.
     """
 
-    def __init__(self, handler: Handler, limit: int, crowd: str = "") -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limit: int,
+        crowd: str = "",
+        crowd_at_once: Callable[[], int] = lambda: c.CROWD_AT_ONCE,
+    ) -> None:
+        """`crowd_at_once`: how many requests below `crowd` are worked on at once, at present."""
         self._handler = handler
+        self._crowd_at_once = crowd_at_once
         self._limit = limit
         self._crowd = crowd
         self._crowd_limit = int(limit * c.CROWD_SHARE)
@@ -125,7 +133,7 @@
 
     async def _respond(self, request: Request) -> Response:
         crowd = self._in_crowd(request)
-        if crowd and self._crowd_busy >= c.CROWD_AT_ONCE:
+        if crowd and self._crowd_busy >= self._crowd_at_once():
             return answer(503, {"error": "too many at once"}, c.RETRY_AFTER_S)
         self._crowd_busy += crowd
         try:
--- a/pulleydeal/metrics.py
+++ b/pulleydeal/metrics.py
@@ -49,6 +49,11 @@
             "Connections between controllers ended for what came over them",
             registry=registry,
         )
+        self.loop_late = Gauge(
+            "pulleydeal_loop_late_seconds",
+            "How late the event loop is: above 0.25 the node puts work off",
+            registry=registry,
+        )
         self.checkin_age = Gauge(
             "pulleydeal_checkin_age_max_seconds",
             "Age of the oldest machine's report",
