--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import importlib
+import signal
 import sys
 import time
 from pathlib import Path
@@ -44,6 +45,8 @@
     options = parser.parse_args()
     module = importlib.import_module(f"experiments.{options.name}")
     began = time.monotonic()
+    # An experiment that is ended still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
     if options.days is not None and options.name not in ("profile", "served"):
         parser.error("--days goes with profile or served")
     if options.days is not None:
--- a/experiments/scale.py
+++ b/experiments/scale.py
@@ -23,6 +23,14 @@
         Size(workers=600, starts_per_s=n, **RAISED) for n in (10, 20, 40, 80)
     ],
 }
+JOURNAL = "[journal]\n"
+SWEEPS["starts, journal"] = [
+    Size(workers=600, starts_per_s=n, features=JOURNAL) for n in (10, 20, 40, 80, 160, 320)
+]
+# What one cell of five is expected to hold, with the mechanism and without.
+SWEEPS["a cell"] = [
+    Size(workers=4_800, starts_per_s=780.0, features=features) for features in ("", JOURNAL)
+]
 QUICK = {
     "workers": [Size(workers=n, tasks_per_worker=8, settle_s=4.0, measure_s=6.0) for n in (40, 80)]
 }
@@ -63,6 +71,7 @@
         ("nodes", "MB a node"),
     ],
     "starts, limits held": [("starts/s", "changes/s"), ("starts/s", "state requests/s")],
+    "starts, journal": [("starts/s", "changes/s"), ("starts/s", "state requests/s")],
     "starts, limits raised": [
         ("starts/s", "cores of all nodes"),
         ("starts/s", "changes/s"),
--- a/experiments/scale_cell.py
+++ b/experiments/scale_cell.py
@@ -20,9 +20,11 @@
 from standins.hollow import HollowWorker, Plan
 from standins.hub import Hub
 from standins.outside import Block, OutsidePlan
-from standins.town import LOCAL, ROOT, Town
+from standins.town import LOCAL, ROOT, Town, TownError
 
 WORKERS_PER_PROCESS = 400
+WORKER_PORT = 9_000
+HOSTS_PER_NET = 250
 PROCESSES_MOST = 200
 MEMORY_SHARE_MOST = 0.5  # of the machine's memory
 SOCKETS_MOST = 500_000  # per process, as far as the hard limit lets it
@@ -50,6 +52,12 @@
     return found
 
 
+def worker_address(number: int) -> str:
+    """An address of loopback of its own: a free port found now may be another connection's when
+    thousands of workers come to listen."""
+    return f"127.1.{number // HOSTS_PER_NET}.{1 + number % HOSTS_PER_NET}:{WORKER_PORT}"
+
+
 def machine_memory_mb() -> float:
     for line in Path("/proc/meminfo").read_text().splitlines():
         if line.startswith("MemTotal:"):
@@ -65,7 +73,7 @@
             "value_kb": size.value_kb,
             "txn_ops": size.txn_ops,
         }
-        super().__init__(folder, size.nodes, limits=limits)
+        super().__init__(folder, size.nodes, limits=limits, features=size.features)
         self.up_s = UP_S
         self.size = size
         self.hub = Hub({"core": 0.0}, CANCEL_S)
@@ -85,8 +93,9 @@
         raise_socket_limit()
         (self.folder / "jobs").mkdir(parents=True, exist_ok=True)
         size, jobs = self.size, held_jobs(self.size)
-        hub_port, *ports = free_ports(size.workers + 1)
-        self.workers_planned = hollow_workers(size, jobs, [f"{LOCAL}:{port}" for port in ports])
+        hub_port = free_ports(1)[0]
+        addresses = [worker_address(number) for number in range(size.workers)]
+        self.workers_planned = hollow_workers(size, jobs, addresses)
         self._know_held(jobs)
         await self.hub.start(LOCAL, hub_port)
         hub = f"{LOCAL}:{hub_port}"
@@ -148,8 +157,17 @@
     async def _gathered(self, count: int) -> None:
         async with asyncio.timeout(GATHER_S):
             while self.hub.processes < count:
+                self.check()
                 await asyncio.sleep(0.05)
 
+    def check(self) -> None:
+        """TownError if a process of hollow workers, or what is outside, has ended."""
+        others = [p for p in (self.outside, *self.hollow) if p is not None]
+        if any(process.returncode is not None for process in others):
+            logs = [*sorted(self.folder.glob("hollow-*.log")), self.folder / "outside.log"]
+            said = [line for log in logs for line in log.read_text().splitlines()[-1:]]
+            raise TownError(f"a stand-in has ended: {' | '.join(said[:3])}")
+
     async def stop(self) -> None:
         others = [p for p in (self.outside, *self.hollow) if p is not None]
         for process in others:
--- a/experiments/scale_plan.py
+++ b/experiments/scale_plan.py
@@ -41,6 +41,7 @@
     rps: float = 200.0
     value_kb: float = 8.0
     txn_ops: int = 32
+    features: str = ""  # text of the nodes' features file
     measure_s: float = 20.0
     settle_s: float = 8.0
     seed: int = 1
--- a/experiments/scale_run.py
+++ b/experiments/scale_run.py
@@ -164,6 +164,7 @@
     async def _wait(self, for_s: float) -> None:
         until = self.cell.now() + for_s
         while (left := until - self.cell.now()) > 0:
+            self.cell.check()
             self._peak_memory_mb = max(self._peak_memory_mb, self.cell.all_memory_mb())
             await asyncio.sleep(min(1.0, left))
 
@@ -206,6 +207,7 @@
             "nodes": size.nodes,
             "tasks held": size.workers * size.tasks_per_worker,
             "offered starts/s": size.starts_per_s,
+            "features": size.features.strip(),
             "starts/s": self._starts / seconds,
             "ends/s": self._ends / seconds,
             "reports/s": per_s["reports"],
--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -15,6 +15,7 @@
 from pulleydeal.fleet.service import Fleet
 from pulleydeal.fleet.types import Types
 from pulleydeal.http import Request, Response, Server, answer
+from pulleydeal.journal.service import Journal
 from pulleydeal.lateness import Lateness, Precedence
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
@@ -25,7 +26,7 @@
 from pulleydeal.store.client import StateClient
 from pulleydeal.store.limits import tightest
 from pulleydeal.store.replica import Replica
-from pulleydeal.store.service import Store, forever
+from pulleydeal.store.service import Backoff, Store, forever
 from pulleydeal.submissions.service import Submissions
 from pulleydeal.workers.eviction import Eviction
 from pulleydeal.workers.service import Workers
@@ -55,6 +56,7 @@
         self.store = Store(self.client, self.replica, clock, rng, tightest(limits))
         self.siblings = Siblings(settings, clock)
         self.membership = Membership(settings, self.store, self.siblings, clock, rng)
+        self.journal = self.store.journal = Journal(self.membership, self.store, Backoff(rng))
         teams, zones = settings.teams, deployment.zones
         stations: dict[str, Station] = {}
         context = FeatureContext(
@@ -142,6 +144,7 @@
             kept,
             lambda: self.submissions.ready,
             self.placement.reason,
+            self.journal,
         )
         self.features = switched_on(features, service, found)
         self._paths = {part: h for feature in self.features for part, h in feature.paths().items()}
@@ -192,6 +195,7 @@
             "rent": self.fleet.rent,
             "return": self.fleet.give_back,
             "list": self.fleet.listing,
+            "journal": self.journal.tidy,
         }
         return {
             "lateness": self.lateness.watch,
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -163,6 +163,14 @@
 EXPRESSION_DEPTH = 20  # deepest nesting: bounds the checker's and the evaluation's stack
 EXPRESSION_MOST = 1e12  # largest literal: far above any amount here
 
+# --- Journal ------------------------------------------------------------------------------
+JOURNAL_DRAFT_CHUNKS = 12  # chunks of one job in one append: 384 facts of some 40 B, 16 KB
+JOURNAL_APPEND_B = 48_000  # facts in one append: below COMMIT_B with its conditions and keys
+JOURNAL_TRIES = 12  # appends of one job's facts against moving marks before they are given up
+JOURNAL_TIDY_S = 5.0  # how often values without a fact that still counts are dropped
+JOURNAL_KEEP = 128  # values of one start after which the oldest are written anew, to be dropped
+JOURNAL_RESTATED = 8  # values written anew in one transaction: bounds what idle work costs
+
 # --- Short processor time -----------------------------------------------------------------
 LATENESS_LOOK_S = 0.25  # how often the loop's lateness is measured: twice a heartbeat
 LATE_UPKEEP_S = 0.25  # from this lateness on the fleet's plans wait: nobody misses one
--- a/pulleydeal/features/context.py
+++ b/pulleydeal/features/context.py
@@ -6,6 +6,7 @@
 
 from pulleydeal.clock import Clock
 from pulleydeal.http import Request, Response
+from pulleydeal.journal.service import Journal
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
 from pulleydeal.metrics import Metrics
@@ -62,3 +63,4 @@
     keeping: Keeping
     ready: Callable[[], bool]  # whether users are answered here
     reason: Callable[[str], str]  # why a job's tasks wait
+    journal: Journal
--- a/pulleydeal/features/settings.py
+++ b/pulleydeal/features/settings.py
@@ -31,11 +31,16 @@
     """A zone that is cut off keeps its work. Nothing to set: all nodes must do the same."""
 
 
+class JournalSettings(Struct, forbid_unknown_fields=True, frozen=True):
+    """Facts of many jobs in one change. On only while every node has it on (docs/journal.md)."""
+
+
 class Features(Struct, forbid_unknown_fields=True, frozen=True):
     operators: OperatorsSettings | None = None
     rollouts: RolloutsSettings | None = None
     recurring: RecurringSettings | None = None
     zones: ZonesSettings | None = None
+    journal: JournalSettings | None = None
 
     def on(self) -> list[str]:
         """The names of all that is switched on."""
--- a/pulleydeal/features/switch.py
+++ b/pulleydeal/features/switch.py
@@ -17,6 +17,10 @@
 
 def switched_on(features: Features, service: Service, found: list[Feature]) -> list[Feature]:
     """The features that are on, those already `found` among them, in the order of their start."""
+    if features.journal is not None:
+        from pulleydeal.journal.feature import JournalFeature
+
+        found.append(JournalFeature(service, service.journal))
     if features.operators is not None:
         from pulleydeal.operators.service import Operators
 
--- a/pulleydeal/operators/service.py
+++ b/pulleydeal/operators/service.py
@@ -167,7 +167,7 @@
 def _status(job: Job) -> str:
     if job.record is None:
         return ""
-    return "cancelled" if job.is_cancelled else job.record.status
+    return "cancelled" if job.is_cancelled else job.record.state
 
 
 def _summary(job: Job) -> dict[str, Any]:
--- a/pulleydeal/rollouts/service.py
+++ b/pulleydeal/rollouts/service.py
@@ -240,7 +240,7 @@
         also_read: dict[str, int],
     ) -> None:
         job = self.replica.jobs.get(st.job_id(name, slot.serial))
-        if job is None or job.record is None or job.record.status != "open":
+        if job is None or job.record is None or job.record.state != "open":
             return
         key = r.job_key(job.id)
         also[key] = r.cancelled(job.record, job.spec, wall, self.node.keeping.holds_back())
--- a/pulleydeal/store/job.py
+++ b/pulleydeal/store/job.py
@@ -40,7 +40,11 @@
 
     @property
     def status(self) -> str:
-        return self.record.status if self.record else ""
+        return self.record.state if self.record else ""
+
+    @property
+    def is_journaled(self) -> bool:
+        return self.record is not None and self.record.is_journaled
 
     @property
     def is_cancelled(self) -> bool:
--- a/pulleydeal/store/pipelines.py
+++ b/pulleydeal/store/pipelines.py
@@ -24,17 +24,17 @@
         record = job.record
         assert record is not None
         touched: set[str] = set()
-        if record.status != "open":
+        if record.state != "open":
             self._unlink(job, touched)
         elif not job.linked:
             self._link(job)
-        if record.status == "done":
+        if record.state == "done":
             for name in self._needed_by.get(job.id, ()):
                 later = self._jobs[name]
                 later.blockers.discard(job.id)
                 later.since = max(later.since, record.ended)
                 touched.add(name)
-        if record.status == "cancelled" or self._needs_cancelled(job):
+        if record.state == "cancelled" or self._needs_cancelled(job):
             self._doom(job, touched)
         self._weigh([job.id], touched)
         touched.discard(job.id)
@@ -51,7 +51,7 @@
         for name in record.spec.waits_on:
             self._needed_by.setdefault(name, set()).add(job.id)
             needed = self._jobs.get(name)
-            if needed is not None and needed.record is not None and needed.record.status == "done":
+            if needed is not None and needed.record is not None and needed.record.state == "done":
                 job.since = max(job.since, needed.record.ended)
             else:
                 job.blockers.add(name)
--- a/pulleydeal/store/records.py
+++ b/pulleydeal/store/records.py
@@ -11,6 +11,8 @@
   p/t/<k>         more machine types, where one value does not hold them all
   p/s/<node>      which records a node's version can keep, and its features; stays when it is away
   p/f/<feature>/<name>   a feature's own records; read only where the feature is on
+  p/l/<start>/<k>  facts about tasks of any journaled jobs, in the order in which one start of a
+                   node wrote them (store/facts.py); journaled jobs have no p/c/
 
 Other versions read and rewrite these too. A rewrite by an older version drops the fields that it
 does not know, and a new value of a closed set stops it; so fields are only added, at the end,
@@ -26,10 +28,17 @@
 PREFIX = "p/"
 VIEW = "p/view"
 CATALOG = "p/catalog"
+JOURNAL = "p/l/"
 FEATURE_NAME = r"^[A-Za-z0-9._-]{1,40}(/[A-Za-z0-9._-]{1,60}){0,4}$"  # 200 B is the most for a key
 NOTHING = "p-nothing"  # never written: reading it tells the revision and nothing else
 
 Status = Literal["open", "done", "cancelled"]
+# How a status is written. Versions before the journal can't read the last three, and so load
+# nothing while there is such a job: they would see its tasks as never started.
+WrittenStatus = Literal[
+    "open", "done", "cancelled", "journal-open", "journal-done", "journal-cancelled"
+]
+JOURNALED = "journal-"
 MachineState = Literal["boot", "up", "drain", "gone"]
 PRIORITIES = ("low", "normal", "high", "production")
 
@@ -59,13 +68,22 @@
 
 
 class JobRecord(Struct, omit_defaults=True):
-    status: Status
+    status: WrittenStatus
     tasks: int
     at: float = 0.0  # wall clock of acceptance
     spec: JobSpec | None = None  # None once the job is over and all its tasks are gone
     ended: float = 0.0  # wall clock of its end; 0: not over, or ended by a version without it
     untold: bool = False  # cancelled, but told to nobody before that can be kept (zones)
 
+    @property
+    def state(self) -> Status:
+        return _STATES[self.status]
+
+    @property
+    def is_journaled(self) -> bool:
+        """What happens to its tasks is written to journals; a slim record says nothing of it."""
+        return self.status.startswith(JOURNALED)
+
 
 class Task(Struct, array_like=True, omit_defaults=True):
     machine: str = ""  # bound to it and not proved gone; empty: waits (or is done)
@@ -129,8 +147,29 @@
     types: list[MachineType] = []
 
 
+_STATES: dict[WrittenStatus, Status] = {
+    "open": "open",
+    "done": "done",
+    "cancelled": "cancelled",
+    "journal-open": "open",
+    "journal-done": "done",
+    "journal-cancelled": "cancelled",
+}
+_WRITTEN: dict[Status, WrittenStatus] = {
+    "open": "journal-open",
+    "done": "journal-done",
+    "cancelled": "journal-cancelled",
+}
+
+
+def written(state: Status, journaled: bool) -> WrittenStatus:
+    """How the state of a job is written, slim records aside."""
+    return _WRITTEN[state] if journaled else state
+
+
 def cancelled(old: JobRecord, spec: JobSpec | None, wall: float, untold: bool) -> JobRecord:
-    return JobRecord("cancelled", old.tasks, old.at, spec, wall, untold)
+    status = written("cancelled", old.is_journaled and spec is not None)
+    return JobRecord(status, old.tasks, old.at, spec, wall, untold)
 
 
 def job_key(job: str) -> str:
@@ -153,6 +192,10 @@
     return f"p/n/{member}"
 
 
+def journal_key(start: str, place: str) -> str:
+    return f"{JOURNAL}{start}/{place}"
+
+
 def types_key(index: int) -> str:
     return f"p/t/{index:04x}"
 
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from pulleydeal import constants as c
+from pulleydeal.store import facts
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
 from pulleydeal.store.job import Chunk, Job
@@ -30,8 +31,14 @@
     record: r.RentalRecord
 
 
-# (kind, id): view, member, software, job, machine, rental, catalog, feature; `bound` names a
-# machine whose bindings changed, so that nobody has to look at all machines or at all tasks of a
+@dataclass(slots=True)
+class JournalValue:
+    version: int
+    facts: list[facts.Fact]
+
+
+# (kind, id): view, member, software, job, machine, rental, catalog, feature, journal; `bound` names
+# a machine whose bindings changed, so that nobody has to look at all machines or at all tasks of a
 # job.
 Listener = Callable[[str, str], None]
 
@@ -76,6 +83,11 @@
         self._led: set[str] = set()  # jobs that another job's change concerns, not yet told
         self._used: dict[str, tuple[float, float]] = {}  # team -> cpus, gpus of all bound
         self._rebound: set[str] = set()  # machines whose bindings changed since last told
+        # Journal values by start and place, and facts of jobs that are not known yet: on a load
+        # a value may be read that is newer than what was read of the jobs.
+        self.journals: dict[str, JournalValue] = {}
+        self._early: dict[str, list[facts.Fact]] = {}
+        self._combined: dict[str, set[int]] = {}  # tasks whose state no single fact tells
         self._versions: dict[str, int] = {}
         self._deleted: dict[str, int] = {}
 
@@ -147,6 +159,9 @@
             job, _, index = rest.partition("/")
             self._set_chunk(job, int(index, 16), r.CHUNK.decode(value), version)
             return "job", job
+        if kind == "l":
+            self._set_journal(rest, facts.FACTS.decode(value), version)
+            return "journal", rest
         if kind == "m":
             self.machines[rest] = Machine(rest, version, r.MACHINE.decode(value))
             self.zone_of[rest] = self.machines[rest].record.zone
@@ -191,6 +206,9 @@
             job, _, index = rest.partition("/")
             self._drop_chunk(job, int(index, 16))
             return "job", job
+        if kind == "l":
+            self.journals.pop(rest, None)
+            return "journal", rest
         if kind == "m":
             self.machines.pop(rest, None)
             self.zone_of.pop(rest, None)
@@ -222,9 +240,10 @@
             for index in list(job.chunks):
                 self._drop_chunk(job_id, index)
             self.open_jobs.discard(job_id)
+            self._combined.pop(job_id, None)
         else:
             self.open_jobs.add(job_id)
-        if record.spec is not None and record.status == "cancelled":
+        if record.spec is not None and record.state == "cancelled":
             self.cancelled_jobs.add(job_id)
         else:
             self.cancelled_jobs.discard(job_id)
@@ -236,6 +255,9 @@
         self._led |= self._pipelines.changed(job)
         self._account(job, job.bound)  # chunks may be read before their job's description
         self.open_changes += 1
+        early = self._early.pop(job_id, None)
+        if early is not None:
+            self._merge(early)
 
     def _account(self, job: Job, tasks: int) -> None:
         spec = job.spec
@@ -243,6 +265,49 @@
             cpus, gpus = self._used.get(spec.team, (0.0, 0.0))
             self._used[spec.team] = (cpus + tasks * spec.cpus, gpus + tasks * spec.gpus)
 
+    def _set_journal(self, place: str, found: list[facts.Fact], version: int) -> None:
+        self.journals[place] = JournalValue(version, found)
+        self._merge(found)
+
+    def _merge(self, found: list[facts.Fact]) -> None:
+        """Takes in facts, in whatever order and however often they come (store/facts.py)."""
+        changed: dict[tuple[str, int], list[r.Task]] = {}
+        for fact in found:
+            job = self.jobs.get(fact.job)
+            if job is None or job.record is None:
+                self._early.setdefault(fact.job, []).append(fact)
+                continue
+            if job.record.spec is None:
+                continue  # over, with all its tasks gone: nothing of it matters any more
+            k, offset = divmod(fact.index, c.CHUNK_TASKS)
+            tasks = changed.get((fact.job, k))
+            if tasks is None:
+                tasks = changed[(fact.job, k)] = self._tasks_of(job, job.record.tasks, k)
+            if offset < len(tasks):
+                known = tasks[offset]
+                tasks[offset] = facts.joined(known, fact.task)
+                self._note_combined(fact, known, tasks[offset])
+        for (job_id, k), tasks in changed.items():
+            self._set_chunk(job_id, k, tasks, 0)
+            self._led.add(job_id)
+
+    def _note_combined(self, fact: facts.Fact, known: r.Task, state: r.Task) -> None:
+        if state == fact.task:
+            self._combined.get(fact.job, set()).discard(fact.index)
+        elif state != known:
+            self._combined.setdefault(fact.job, set()).add(fact.index)
+
+    def is_combined(self, job: str, index: int) -> bool:
+        """Whether several facts together tell the state of a task of a journaled job."""
+        return index in self._combined.get(job, ())
+
+    def _tasks_of(self, job: Job, count: int, k: int) -> list[r.Task]:
+        """A copy of a chunk's tasks, or as many that were never started."""
+        chunk = job.chunks.get(k)
+        if chunk is not None:
+            return list(chunk.tasks)
+        return [r.Task()] * min(c.CHUNK_TASKS, max(0, count - k * c.CHUNK_TASKS))
+
     def _set_chunk(self, job_id: str, index: int, tasks: list[r.Task], version: int) -> None:
         """Only tasks that changed are looked at: most of a chunk's writes change one or two."""
         job = self.jobs.setdefault(job_id, Job(job_id))
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -4,7 +4,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -27,6 +27,22 @@
 from pulleydeal.store.replica import Replica
 
 log = logging.getLogger("pulleydeal.store")
+
+
+class FactWriter(Protocol):
+    """Writes what happens to tasks of journaled jobs (`pulleydeal/journal`)."""
+
+    def takes(self, spec: r.JobSpec) -> bool:
+        """Whether a job that is accepted now is to be journaled."""
+
+    async def append(self, job: str, make: "MakeDraft", turn: "Turn") -> bool:
+        """Makes the facts of a job's draft durable; what it was made from is as new as that.
+
+        True also when there are none. False: the marks moved too often, or the job is over.
+        """
+
+
+MakeDraft = Callable[[], Draft | None]
 Mutator = Callable[[Draft], None]
 Change = tuple[Mutator, Turn, asyncio.Future[bool]]
 
@@ -64,6 +80,11 @@
         self._barrier: asyncio.Future[tuple[float, int]] | None = None
         self._pending: dict[str, list[Change]] = {}
         self._draining: dict[tuple[str, bool], asyncio.Task[None]] = {}
+        self.journal: FactWriter | None = None
+
+    def journals(self, spec: r.JobSpec) -> bool:
+        """Whether a job that is accepted now is to be journaled."""
+        return self.journal is not None and self.journal.takes(spec)
 
     # --- watching -----------------------------------------------------------------------
     async def follow(self) -> None:
@@ -204,18 +225,21 @@
         while unsure or tries < c.SCRATCH_TRIES:
             tries += 1
             while True:
+                if self._is_journaled(job_id):
+                    if not await self._append_facts(job_id, batch) and not unsure:
+                        return False
+                    if not unsure and self._writes_nothing(self._draft(job_id, batch)):
+                        return True  # all of it was facts: no turn is waited for
                 queued = self._pending.get(job_id, [])
-                await self.client.may_write(min(turn for _, turn, _ in [*batch, *queued]))
+                await self.client.may_write(self._turn([*batch, *queued]))
                 batch += self._pending.pop(job_id, [])
                 if not batch:
                     return True
-                job = self.replica.jobs.get(job_id)
-                if job is None or job.spec is None:
+                draft = self._draft(job_id, batch)
+                if draft is None:
                     return False
-                draft = Draft(job, self.replica, self.limits, self._clock.wall())
-                for mutate, _, _ in batch:
-                    mutate(draft)
-                draft.finish()
+                if draft.facts:
+                    continue  # they came while it waited, and go first
                 if unsure:
                     # An unanswered transaction may still be applied. Quota and zones are
                     # counted without it, so the job's mark must move for it to fail.
@@ -243,6 +267,40 @@
         log.info("job %s: changes given up after %d conflicts", job_id, c.SCRATCH_TRIES)
         return False
 
+    def _is_journaled(self, job_id: str) -> bool:
+        job = self.replica.jobs.get(job_id)
+        return job is not None and job.is_journaled
+
+    def _turn(self, changes: list[Change]) -> Turn:
+        return min((turn for _, turn, _ in changes), default=Turn.LATER)
+
+    def _draft(self, job_id: str, batch: list[Change]) -> Draft | None:
+        """What the changes make of the newest record; None: the job is over, with all its tasks."""
+        job = self.replica.jobs.get(job_id)
+        if job is None or job.spec is None:
+            return None
+        draft = Draft(job, self.replica, self.limits, self._clock.wall())
+        for mutate, _, _ in batch:
+            mutate(draft)
+        draft.finish()
+        return draft
+
+    def _writes_nothing(self, draft: Draft | None) -> bool:
+        return draft is not None and not (draft.facts or draft.puts or draft.deletes)
+
+    async def _append_facts(self, job_id: str, batch: list[Change]) -> bool:
+        """Makes durable what the pending changes say of the job's tasks."""
+
+        def make() -> Draft | None:
+            batch.extend(self._pending.pop(job_id, []))
+            return self._draft(job_id, batch)
+
+        if self.journal is None:
+            log.error("job %s: journaled, and nothing here writes journals", job_id)
+            return False
+        queued = self._pending.get(job_id, [])
+        return await self.journal.append(job_id, make, self._turn([*batch, *queued]))
+
     async def _read_back(self, backoff: Backoff) -> None:
         while True:
             try:
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -146,7 +146,8 @@
             return reply
         if (reply := self._no_time()) is not None:
             return reply
-        record = r.JobRecord("open", spec.tasks, self._clock.wall(), spec)
+        status = r.written("open", self._store.journals(spec))
+        record = r.JobRecord(status, spec.tasks, self._clock.wall(), spec)
         why = self._too_large(record)
         if why:
             return await self._refused(spec.id, 422, why)
@@ -192,7 +193,8 @@
 
     def _too_large(self, record: r.JobRecord) -> str:
         """The record must fit in every state that it may come to."""
-        longest = msgspec.structs.replace(record, status="cancelled", ended=record.at)
+        status = r.written("cancelled", record.is_journaled)
+        longest = msgspec.structs.replace(record, status=status, ended=record.at)
         size = len(msgspec.json.encode(longest))
         limit = self._store.limits.value_b
         if size <= limit:
@@ -259,7 +261,7 @@
 
     def _state(self, job: Job) -> m.State:
         assert job.record is not None
-        if job.record.status == "done":
+        if job.record.state == "done":
             return m.State(job.id, "done", job.record.tasks, 0)
         if job.is_cancelled and not self._held_back(job):
             return m.State(job.id, "cancelled", job.done, 0)
--- a/standins/rules.py
+++ b/standins/rules.py
@@ -15,10 +15,10 @@
         self.uploads: dict[str, dict[str, Any]] = {}
         self.broken: list[str] = []
         self.places: dict[str, dict[str, str]] = {}  # lift -> block -> yard
-        # Job -> its tasks' zones, one for each place; team -> jobs with any. Counting all tasks at
-        # each start grew with the square of a day.
+        # Job -> its tasks' zones, one for each place. Counting all tasks anew at each start grew
+        # with the square of a day; thousandths, as sums of them are exact.
         self._yards: dict[str, Counter[str]] = {}
-        self._live: dict[str, set[str]] = {}
+        self._milli_used: dict[str, int] = {}  # team -> thousandths of accelerators in use
         self.starts = 0
         self.lost = 0  # tasks that workers gave up as their lease was over
         self.changes: list[tuple[float, str, int]] = []  # when a task of which job came or went
@@ -90,8 +90,8 @@
         name = lift.rpartition("/")[0]
         if block not in self.places.setdefault(lift, {}):
             self._yards.setdefault(name, Counter())[yard] += 1
+            self._use(name, 1)
         self.places[lift][block] = yard
-        self._live.setdefault(self.uploads[name]["crew"], set()).add(name)
 
     def _take(self, lift: str, block: str) -> bool:
         """Whether it was there."""
@@ -100,17 +100,16 @@
             return False
         name = lift.rpartition("/")[0]
         self._yards[name] -= Counter({yard: 1})
-        if not self._yards[name]:
-            self._live[self.uploads[name]["crew"]].discard(name)
+        self._use(name, -1)
         return True
 
+    def _use(self, name: str, tasks: int) -> None:
+        team = self.uploads[name]["crew"]
+        amount = round(self.uploads[name]["accelerators"] * 1000) * tasks
+        self._milli_used[team] = self._milli_used.get(team, 0) + amount
+
     def _in_use(self, team: str) -> float:
-        return float(
-            sum(
-                self.uploads[name]["accelerators"] * self._yards[name].total()
-                for name in sorted(self._live.get(team, ()))
-            )
-        )
+        return self._milli_used.get(team, 0) / 1000
 
     def already(self, lift: str, block: str, yard: str) -> None:
         """A task that runs there from before the checker began to watch."""
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -16,6 +16,7 @@
 
 from pulleydeal.app import App
 from pulleydeal.constants import CHUNK_TASKS
+from pulleydeal.features.settings import Features, JournalSettings
 from pulleydeal.http import Client, NoAnswer
 from pulleydeal.settings import Settings
 from standins.acceptance import LOOK_S, Waits, unserved
@@ -42,6 +43,7 @@
         self._hosts: dict[str, Host] = {}
         self._starting: dict[str, asyncio.TimerHandle] = {}
         self.featured: list[str] = []  # nodes that have features on; none named: all
+        self.journaling: list[str] | None = None  # nodes that have the journal on; None: none
         self._workers: dict[str, Worker] = {}
         self._regional = Host("10.2.0.0", "")
         self._users = Host("10.3.0.1", "")
@@ -103,7 +105,9 @@
         host = self._hosts[name] = Host(self._nodes[name], ZONES[index])
         rng = random.Random(f"{self._seed} {name} {self._loop.time()}")
         on = self.services and (not self.featured or name in self.featured)
-        features = self.services.features(name) if self.services and on else None
+        features = self.services.features(name) if self.services and on else Features()
+        if self.journaling is not None and name in (self.journaling or self._nodes):
+            features = msgspec.structs.replace(features, journal=JournalSettings())
         on_host(host, App(self._settings(name), self._clock, rng, None, features).run())
 
     def _settings(self, name: str) -> Settings:
@@ -235,6 +239,10 @@
     def do_features(self, *names: str) -> None:
         """Read before the nodes start."""
 
+    def do_journal(self, _on: str, *nodes: str) -> None:
+        """Nodes that start from now on have the journal on, or only these."""
+        self.journaling = list(nodes)
+
     def unheard(self, context: dict[str, Any]) -> None:
         """An exception that reached the event loop: no part of the service may leave one."""
         error = context.get("exception")
@@ -264,6 +272,8 @@
     for event in script:
         if event.verb == "features":
             scenario.services, scenario.featured = ServiceEvents(scenario), event.words[1:]
+        elif event.verb == "journal" and event.at == 0.0:
+            scenario.journaling = event.words[1:]
     records = None
     if script[0].verb == "load":
         records = left_behind(path.parent / script[0].words[0])
--- a/standins/script.py
+++ b/standins/script.py
@@ -36,6 +36,8 @@
   capacity COUNT                                 machines to be had of each kind in each zone
   crowd JOB COUNT KIND TASKS RUN_S [name=value ...]   COUNT users submit at once, from JOB on
   features on [NODE ...]   (among the first events)   nodes have all features on, or only these
+  journal on [NODE ...]    nodes that start from then on have the journal on, or only these; at 0:
+                                                 all that start
   describe SERVICE [name=value ...]              how its next versions are described
   behave IMAGE [name=value ...]                  how copies of an image behave (copies.Behaviour)
   roll SERVICE IMAGE                             an operator starts a roll-out of that image
