--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -72,7 +72,8 @@
     members = _sweep(rows, "members")
     return [
         _report_bytes(tasks),
-        _changes(held),
+        _changes(held, "chunks", "to be replaced: facts packed by writer"),
+        _changes(_sweep(rows, "starts, journal"), "journals", "exists, off: `journal`"),
         _requests(workers, raised),
         _cores(workers, raised),
         _memory(workers),
@@ -106,18 +107,20 @@
     )
 
 
-def _changes(held: list[dict[str, Any]]) -> Line:
-    per_start = min(row["changes/s"] / row["starts/s"] for row in held if row["starts/s"])
-    most_starts = max(row["starts/s"] for row in held)
+def _changes(swept: list[dict[str, Any]], way: str, mechanism: str) -> Line:
+    """The least that a start and its end took: the more wait, the more go into one change."""
+    per_start = min(row["changes/s"] / row["starts/s"] for row in swept if row["starts/s"])
+    most_starts = max(row["starts/s"] for row in swept)
     figure = per_start * STARTS_PER_S
+    limit = CHANGES_PER_S * CHANGES_USED
     return Line(
-        "leader of a job, owner of machines",
-        "changes a second at the state service",
+        "leaders of jobs, owners of machines",
+        f"changes a second at the state service, with {way}",
         f"{per_start:.2f} a start x {STARTS_PER_S:,.0f}/s = {figure:,.0f}/s",
-        f"{CHANGES_PER_S * CHANGES_USED:.0f}/s of {CHANGES_PER_S:.0f}",
-        f"measured: the least of {len(held)} rates; at most {most_starts:.0f} starts/s came about",
-        _workers_at(most_starts, STARTS_A_WORKER),
-        "**missing**: facts packed by writer",
+        f"{limit:.0f}/s of {CHANGES_PER_S:.0f}",
+        f"measured: the least of {len(swept)} rates; at most {most_starts:.0f} starts/s came about",
+        _workers_at(limit / per_start, STARTS_A_WORKER),
+        mechanism,
     )
 
 
@@ -134,7 +137,7 @@
         f"{REQUESTS_PER_S:.0f}/s",
         f"{_measured(by_worker)}; {_measured(by_start)}",
         _workers_at(REQUESTS_PER_S - by_worker.at(0), a_worker),
-        "**missing**: facts packed by writer (one request packs many jobs)",
+        "the same: one request packs many jobs",
     )
 
 
@@ -251,30 +254,109 @@
 
 
 def table(rows: list[dict[str, Any]]) -> str:
-    head = [
-        "role",
-        "what",
-        "slope x count = figure",
-        "limit",
-        "source",
-        "breaks at workers a cell",
-        "carried by",
+    head = ["role", "what", "slope x count = figure", "limit", "source"]
+    head += ["breaks at workers a cell", "carried by"]
+    cells = [
+        [line.role, line.need, line.sum, line.limit, line.source, line.breaks_at, line.mechanism]
+        for line in lines(rows)
     ]
+    parts = [_markdown(head, cells), "## Cost a unit", _units(rows)]
+    parts += ["## Starts a second, side by side", _side_by_side(rows)]
+    return "\n\n".join(parts)
+
+
+def _markdown(head: list[str], cells: list[list[str]]) -> str:
     found = [f"| {' | '.join(head)} |", f"|{' --- |' * len(head)}"]
-    for line in lines(rows):
-        cells = [
-            line.role,
-            line.need,
-            line.sum,
-            line.limit,
-            line.source,
-            line.breaks_at,
-            line.mechanism,
-        ]
-        found.append(f"| {' | '.join(cells)} |")
+    found += [f"| {' | '.join(row)} |" for row in cells]
     return "\n".join(found)
 
 
+def _units(rows: list[dict[str, Any]]) -> str:
+    """What one more of each costs all nodes together, or each of them."""
+    workers, tasks = _sweep(rows, "workers"), _sweep(rows, "tasks")
+    raised, members = _sweep(rows, "starts, limits raised"), _sweep(rows, "members")
+    cores, reports = (
+        fit(workers, "workers", "cores of all nodes"),
+        fit(workers, "workers", "reports/s"),
+    )
+    starts, memory = (
+        fit(raised, "starts/s", "cores of all nodes"),
+        fit(workers, "workers", "MB a node"),
+    )
+    task, load = fit(tasks, "tasks held", "MB a node"), fit(workers, "workers", "load s")
+    member = fit(members, "nodes", "cores of all nodes")
+    watched = fit(raised, "starts/s", "watch KB/s a node")
+    found = [
+        (
+            "a report, with all that is done for its worker",
+            f"{cores.per_unit / reports.per_unit * 1000:.2f} ms",
+            cores,
+        ),
+        ("a start and its end, for all nodes together", f"{starts.per_unit * 1000:.1f} ms", starts),
+        (
+            f"a worker with {TASKS_A_WORKER} tasks, in each node",
+            f"{memory.per_unit * 1024:.1f} KB",
+            memory,
+        ),
+        ("a bound task, in each node", f"{task.per_unit * 1024 * 1024:.0f} B", task),
+        (
+            "a start and its end, to each node by the watch",
+            f"{watched.per_unit * 1024:.0f} B",
+            watched,
+        ),
+        ("a worker, when a node loads from nothing", f"{load.per_unit * 1000:.2f} ms", load),
+        (
+            "a further node, without work, for all together",
+            f"{member.per_unit * 1000:.1f} ms a second",
+            member,
+        ),
+    ]
+    return _markdown(
+        ["one more", "costs", "source"],
+        [[what, cost, _measured(line)] for what, cost, line in found],
+    )
+
+
+def _side_by_side(rows: list[dict[str, Any]]) -> str:
+    """What came about of what was offered, by chunks and by journals, on the same seeds."""
+    head = [
+        "workers",
+        "offered",
+        "way",
+        "starts/s",
+        "changes/s",
+        "requests/s",
+        "cores of all nodes",
+    ]
+    head += ["urgent p50, p99, worst s", "refused writes", "rules broken"]
+    ways = {
+        "starts, limits held": "chunks",
+        "starts, journal": "journals",
+        "starts, limits raised": "chunks, limits raised",
+        "a cell": "",
+    }
+    cells = []
+    for sweep, way in ways.items():
+        for row in _sweep(rows, sweep):
+            usual = "journals" if row["features"] else "chunks"
+            urgent = [row[f"urgent {name} s"] for name in ("p50", "p99", "worst")]
+            cells.append(
+                [
+                    f"{row['workers']:,}",
+                    f"{row['offered starts/s']:.0f}",
+                    way or usual,
+                    f"{row['starts/s']:.1f}",
+                    f"{row['changes/s']:.1f}",
+                    f"{row['state requests/s']:.0f}",
+                    f"{row['cores of all nodes']:.2f}",
+                    ", ".join(f"{seconds:.2f}" for seconds in urgent),
+                    f"{row['refused writes']}",
+                    f"{row['rules broken']}",
+                ]
+            )
+    return _markdown(head, cells)
+
+
 def on_page(page: str) -> str:
     """The table as it stands on the page, between its two marks."""
     return page.partition(BEGIN)[2].partition(END)[0].strip()
