--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, replace
 
 from pulleydeal import constants as c
-from pulleydeal import rules
 from pulleydeal.clock import Clock
 from pulleydeal.credits.images import ImagesHeld
+from pulleydeal.credits.making import CreditMaker
 from pulleydeal.credits.messages import (
     Ask,
     Hold,
@@ -20,7 +20,6 @@
 from pulleydeal.credits.queue import (
     Credit,
     CreditQueue,
-    Room,
     TaskId,
     Victim,
     Waiting,
@@ -45,10 +44,6 @@
 log = logging.getLogger("pulleydeal.credits")
 
 
-def need_of(spec: r.JobSpec) -> Need:
-    return Need(spec.cpus, spec.gpus, spec.memory)
-
-
 @dataclass(slots=True)
 class Held:
     machine: str
@@ -69,7 +64,6 @@
         clock: Clock,
         metrics: Metrics,
     ) -> None:
-        self._objectives = objectives
         self._membership = membership
         self._siblings = siblings
         self._replica = replica
@@ -87,7 +81,7 @@
         self._reserved: dict[str, tuple[TaskId, float]] = {}
         self._reserved_for: dict[TaskId, str] = {}
         self._images = ImagesHeld(membership, siblings, replica, clock, self._touch)
-        self._at_risk: dict[str, bool] = {}  # jobs that a stop would make miss an aim, this round
+        self._maker = CreditMaker(replica, self._images, objectives, clock, workers.silent)
         self._published: list[Total] = []
         self._published_at = -1e9
         self._unpublished = False
@@ -167,61 +161,10 @@
 
     # --- credits --------------------------------------------------------------------------
     def _credit(self, station: Station) -> Credit | None:
-        record = self._replica.machines.get(station.id)
-        type_ = self._replica.types.get(station.type)
-        if record is None or record.record.state != "up" or type_ is None:
-            return None
-        if not station.trusted or station.notice_at is not None:
-            return None
-        if self._workers.silent(station) or station.unanswered_since is not None:
-            return None  # one whose reports come but that hears nothing starts nothing
-        room = Room(type_.cpus, type_.gpus, type_.memory)
-        victims = []
-        bound = self._replica.bound.get(station.id, {})
-        for (job_id, index), task in bound.items():
-            spec = self._replica.jobs[job_id].spec
-            if spec is None:
-                continue
-            room.take(need_of(spec))
-            if not task.stop and spec.priority < len(r.PRIORITIES) - 1:
-                victims.append(_victim(index, task, spec, self._misses(job_id)))
-        for task_id, entry in station.entries.items():
-            job = self._replica.jobs.get(task_id[0])
-            if task_id not in bound and entry.state != "exited" and job and job.spec:
-                room.take(need_of(job.spec))  # unbound, but still there until it is killed
-        for task_id in self._held_on.get(station.id, ()):
-            if task_id not in bound:
-                room.take(self._held[task_id].need)
+        keys = self._held_on.get(station.id, ())
         reserved = self._reserved.get(station.id)
-        fetching = self._fetching(station)
-        return Credit(
-            station.id,
-            station.type,
-            station.zone,
-            station.spot,
-            room,
-            self._images.of(station.id) - fetching,
-            fetching,
-            reserved[0] if reserved else None,
-            victims,
-        )
-
-    def _misses(self, job_id: str) -> bool:
-        found = self._at_risk.get(job_id)
-        if found is None:
-            job = self._replica.jobs[job_id]
-            found = rules.can_lose(job, self._objectives, self._clock.wall())
-            self._at_risk[job_id] = found
-        return found
-
-    def _fetching(self, station: Station) -> frozenset[str]:
-        """A binding names its image at once, but the image may be most of a minute away."""
-        found = set()
-        for (job_id, _), entry in station.entries.items():
-            job = self._replica.jobs.get(job_id)
-            if entry.state == "fetching" and job is not None and job.spec is not None:
-                found.add(job.spec.image)
-        return frozenset(found)
+        held = [(key, self._held[key].need) for key in keys]
+        return self._maker.credit(station, held, reserved[0] if reserved else None)
 
     def _over(self) -> set[str]:
         """Teams that use more than their guarantee."""
@@ -255,7 +198,7 @@
         Renewing all of them each time cost most of a core at some hundred machines.
         """
         changed = []
-        self._at_risk.clear()
+        self._maker.begin_round()
         dirty, self._dirty = self._dirty, set()
         for machine in dirty:
             station = self._workers.stations.get(machine)
@@ -416,38 +359,3 @@
             self._membership.send_beat()  # the signal: credit changed
         self._metrics.credits.set(len(self._queue.credits))
         self._metrics.asks.set(len(self._asks))
-
-
-def _victim(index: int, task: r.Task, spec: r.JobSpec, misses: bool) -> Victim:
-    loss = spec.checkpoint_s or spec.estimate_s or 60.0
-    if spec.kind == "gang":
-        loss *= spec.tasks
-    need = need_of(spec)
-    return Victim(spec.id, index, task.attempt, need, spec.priority, loss, spec.team, misses)
-
-
-def ask_for(
-    spec: r.JobSpec,
-    index: int,
-    epoch: int,
-    guaranteed: bool,
-    turn: tuple[int, float, float],
-    zones: list[str],
-    avoid: list[str],
-) -> Ask:
-    return Ask(
-        epoch,
-        spec.id,
-        index,
-        need_of(spec),
-        spec.priority,
-        guaranteed,
-        *turn,
-        spec.kind == "gang",
-        spec.spot,
-        spec.team,
-        spec.image,
-        spec.types or [],
-        zones,
-        avoid,
-    )
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -8,8 +8,8 @@
 from pulleydeal import constants as c
 from pulleydeal import rules
 from pulleydeal.clock import Clock
+from pulleydeal.credits.asks import ask_for
 from pulleydeal.credits.messages import Free, pack_ask, pack_free, unpack_hold
-from pulleydeal.credits.service import ask_for
 from pulleydeal.membership.messages import ASK, FREE, HOLD
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -18,7 +18,6 @@
 from pulleydeal.membership.service import Membership
 from pulleydeal.metrics import Metrics
 from pulleydeal.settings import WorkerTimes
-from pulleydeal.store import records as r
 from pulleydeal.store.draft import Draft
 from pulleydeal.store.rate import Turn
 from pulleydeal.store.reasons import shown
@@ -38,11 +37,11 @@
     Start,
     Station,
     TaskId,
-    Wanted,
     absorb,
     is_settled,
     reconcile,
 )
+from pulleydeal.workers.wanted import wanted
 
 log = logging.getLogger("pulleydeal.workers")
 
@@ -273,31 +272,6 @@
             self._reported.setdefault(job, set()).add(machine)
 
     # --- planning -------------------------------------------------------------------------
-    def _wanted(self, station: Station) -> dict[TaskId, Wanted]:
-        relayed = self._membership.relayed_cancels()
-        wanted = {}
-        for task_id, task in self._replica.bound.get(station.id, {}).items():
-            job = self._replica.jobs[task_id[0]]
-            if job.spec is not None:
-                over = ""
-                if job.id in relayed or job.is_cancelled:
-                    over = "cancelled by its user"
-                elif not job.is_open:
-                    over = "its job is done"
-                elif job.spec.kind == "gang" and self._broken(task_id, task):
-                    over = "its gang lost a task"
-                wanted[task_id] = Wanted(task, job.spec, over)
-        return wanted
-
-    def _broken(self, task_id: TaskId, task: r.Task) -> bool:
-        """A gang that lost a task can't go on: its last checkpoint is all that is left."""
-        job = self._replica.jobs[task_id[0]]
-        assert job.spec is not None
-        return any(
-            other.attempt == task.attempt and not other.machine and not other.done
-            for other in map(job.task, range(job.spec.tasks))
-        )
-
     def _is_settled(self, station: Station, now: float) -> bool:
         """A cancellation that only a sibling's beat told changes a plan without touching it."""
         relayed = self._membership.relayed_cancels()
@@ -310,7 +284,7 @@
         with self._lock:
             plan = reconcile(
                 station,
-                self._wanted(station),
+                wanted(self._replica, station.id, self._membership.relayed_cancels()),
                 now,
                 self._times.lease_s,
                 partial(self._keeping.alone, station),
--- a/standins/owner.py
+++ b/standins/owner.py
@@ -5,8 +5,9 @@
 
 import msgspec
 
+from pulleydeal.credits.asks import ask_for
 from pulleydeal.credits.messages import Cached, pack_ask, pack_cached, unpack_cached, unpack_hold
-from pulleydeal.credits.service import Credits, ask_for
+from pulleydeal.credits.service import Credits
 from pulleydeal.membership.messages import ASK, HOLD, IMAGES
 from pulleydeal.metrics import Metrics
 from pulleydeal.settings import Team
--- a/tests/test_settled.py
+++ b/tests/test_settled.py
@@ -15,6 +15,7 @@
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.service import Workers
 from pulleydeal.workers.station import Sent, Station, Wanted, absorb, is_settled, reconcile
+from pulleydeal.workers.wanted import wanted
 from standins.scenario import play
 from tests.test_station import LEASE_S, SPEC
 from tests.test_workers import Alone, report, workers
@@ -39,13 +40,13 @@
     return m.Report("vm-1", "1.2.3.4:5", "t4", "east", False, 1, seq, 0, None, found)
 
 
-def wanted(over: str = "") -> dict[tuple[str, int], Wanted]:
+def bound(over: str = "") -> dict[tuple[str, int], Wanted]:
     return {TASK: Wanted(r.Task("vm-1", 1), SPEC, over)}
 
 
 def test_a_plan_that_found_nothing_settles_and_other_tasks_unsettle() -> None:
     station = known(RUNNING)
-    assert reconcile(station, wanted(), 2.0, LEASE_S).is_empty and is_settled(station, 2.5, LEASE_S)
+    assert reconcile(station, bound(), 2.0, LEASE_S).is_empty and is_settled(station, 2.5, LEASE_S)
     absorb(station, report_of(2, RUNNING), 3.0, checkin=True)
     assert is_settled(station, 3.0, LEASE_S)
     absorb(station, report_of(3, ("j-1/0#1", "exited")), 4.0, checkin=True)
@@ -54,20 +55,20 @@
 
 def test_a_kill_that_did_not_work_is_given_again() -> None:
     station = known(RUNNING)
-    assert reconcile(station, wanted("cancelled"), 2.0, LEASE_S).calls
-    assert not reconcile(station, wanted("cancelled"), 3.0, LEASE_S).calls
+    assert reconcile(station, bound("cancelled"), 2.0, LEASE_S).calls
+    assert not reconcile(station, bound("cancelled"), 3.0, LEASE_S).calls
     assert not is_settled(station, 3.0, LEASE_S)
-    assert reconcile(station, wanted("cancelled"), 4.1, LEASE_S).calls
+    assert reconcile(station, bound("cancelled"), 4.1, LEASE_S).calls
 
 
 def test_an_empty_plan_before_trust_or_after_a_lease_settles_nothing() -> None:
     station = known()
     station.floor = 7
-    assert reconcile(station, wanted(), 2.0, LEASE_S).is_empty and not station.settled
+    assert reconcile(station, bound(), 2.0, LEASE_S).is_empty and not station.settled
     station = known(RUNNING)
-    assert reconcile(station, wanted(), 2.0, LEASE_S).is_empty
+    assert reconcile(station, bound(), 2.0, LEASE_S).is_empty
     assert not is_settled(station, 2.0 + 2 * LEASE_S, LEASE_S)
-    late = partial(reconcile, station, wanted(), 2.0 + 2 * LEASE_S, LEASE_S)
+    late = partial(reconcile, station, bound(), 2.0 + 2 * LEASE_S, LEASE_S)
     assert late(alone=lambda: False).is_empty and not station.settled
     assert late(alone=lambda: True).exits
 
@@ -75,10 +76,10 @@
 def test_a_start_that_is_on_its_way_settles_nothing() -> None:
     station = known()
     station.sent[("j-1", 0, 1)] = Sent(1, 1)
-    assert reconcile(station, wanted(), 2.0, LEASE_S).is_empty and not station.settled
+    assert reconcile(station, bound(), 2.0, LEASE_S).is_empty and not station.settled
     station = known(RUNNING)
     station.busy = True
-    assert reconcile(station, wanted(), 2.0, LEASE_S).is_empty and not station.settled
+    assert reconcile(station, bound(), 2.0, LEASE_S).is_empty and not station.settled
 
 
 def test_a_cancellation_that_only_a_sibling_told_reaches_a_settled_machine() -> None:
@@ -114,7 +115,8 @@
             twin = copy.deepcopy(station)
             lease_s = self._times.lease_s
             alone = partial(self._keeping.alone, station)
-            plan = reconcile(twin, self._wanted(station), now, lease_s, alone)
+            should = wanted(self._replica, station.id, self._membership.relayed_cancels())
+            plan = reconcile(twin, should, now, lease_s, alone)
             told["passed over" if plan.is_empty else "missed"] += 1
         return found
 
--- a/tests/test_untold.py
+++ b/tests/test_untold.py
@@ -250,6 +250,9 @@
         self.meanwhile(self)
         return super().change_job(job, mutate, turn)
 
+    def journals(self, _spec: r.JobSpec) -> bool:
+        return False
+
 
 def submission(job: str) -> bytes:
     body = {
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -68,6 +68,9 @@
         self.replica.committed(encoded, [], self.replica.revision + 1)
         self.replica.revision += 1
 
+    def journals(self, _spec: r.JobSpec) -> bool:
+        return False
+
     def know(self, name: str, status: r.Status, kind: str = "array") -> None:
         spec = r.JobSpec(name, "c", "core", kind, 1, 1, 1.0, 0.0, 1.0, "img", 1.0)  # type: ignore[arg-type]
         self._put(
