Credits are looked at a share at a time, and placement is put off for half a second at most

Change: a share in each round, each machine as often as before; placement's pause while the node is late is at most half a second (2 s before), as a start takes several rounds. Cells of the scale run no longer share addresses, so that two can run beside each other.

--- a/experiments/scale_cell.py
+++ b/experiments/scale_cell.py
@@ -23,7 +23,6 @@
 from standins.town import LOCAL, ROOT, Town, TownError
 
 WORKERS_PER_PROCESS = 400
-WORKER_PORT = 9_000
 HOSTS_PER_NET = 250
 PROCESSES_MOST = 200
 MEMORY_SHARE_MOST = 0.5  # of the machine's memory
@@ -52,10 +51,10 @@
     return found
 
 
-def worker_address(number: int) -> str:
+def worker_address(number: int, port: int) -> str:
     """An address of loopback of its own: a free port found now may be another connection's when
-    thousands of workers come to listen."""
-    return f"127.1.{number // HOSTS_PER_NET}.{1 + number % HOSTS_PER_NET}:{WORKER_PORT}"
+    thousands of workers come to listen. `port`: the hub's, which no other cell has meanwhile."""
+    return f"127.1.{number // HOSTS_PER_NET}.{1 + number % HOSTS_PER_NET}:{port}"
 
 
 def machine_memory_mb() -> float:
@@ -94,7 +93,7 @@
         (self.folder / "jobs").mkdir(parents=True, exist_ok=True)
         size, jobs = self.size, held_jobs(self.size)
         hub_port = free_ports(1)[0]
-        addresses = [worker_address(number) for number in range(size.workers)]
+        addresses = [worker_address(number, hub_port) for number in range(size.workers)]
         self.workers_planned = hollow_workers(size, jobs, addresses)
         self._know_held(jobs)
         await self.hub.start(LOCAL, hub_port)
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -177,7 +177,8 @@
 LATE_PLACEMENT_S = 0.5  # and from this one placement: a machine's answer waits 4 s at most
 LATE_USERS_S = 1.0  # and from this one most users are sent away: they wait 2 s for a poll
 LATE_CROWD_AT_ONCE = 4  # but so many are still answered, whichever nodes are late
-LATE_PAUSE_MOST_S = 2.0  # longest pause of a round that is put off: below ASK_TTL_S
+LATE_PLACEMENT_PAUSE_S = 0.5  # longest pause of placement: a start takes several rounds
+LATE_PAUSE_MOST_S = 2.0  # and of the fleet's plans
 
 # --- Loops --------------------------------------------------------------------------------
 LOOP_PAUSE_S = 0.5  # a loop that failed is tried again after this
--- a/pulleydeal/credits/service.py
+++ b/pulleydeal/credits/service.py
@@ -28,6 +28,7 @@
     probe,
     shape,
 )
+from pulleydeal.credits.sweep import Sweep
 from pulleydeal.credits.totals import totals
 from pulleydeal.membership.messages import ASK, FREE, HOLD, Total
 from pulleydeal.membership.service import Membership
@@ -85,7 +86,7 @@
         self._published: list[Total] = []
         self._published_at = -1e9
         self._unpublished = False
-        self._swept_at = -1e9
+        self._sweep = Sweep(self._all_machines, c.CREDIT_SWEEP_S)
         self._wake = asyncio.Event()
         siblings.on(ASK, self._on_ask)
         siblings.on(FREE, self._on_free)
@@ -110,9 +111,12 @@
             self._images.greet()
 
     def _touch_all(self) -> None:
-        self._dirty.update(self._workers.stations, self._queue.credits)
+        self._dirty.update(self._all_machines())
         self._wake.set()
 
+    def _all_machines(self) -> list[str]:
+        return [*self._workers.stations, *self._queue.credits]
+
     # --- messages -----------------------------------------------------------------------
     def _on_ask(self, leader: str, payload: bytes) -> None:
         ask = unpack_ask(payload)
@@ -224,9 +228,7 @@
         stops = []
         now = self._clock.now()
         with self._lock:
-            if now - self._swept_at > c.CREDIT_SWEEP_S:
-                self._swept_at = now
-                self._touch_all()  # silence changes a credit too, and says nothing
+            self._dirty.update(self._sweep.due(now))  # silence changes a credit too, unsaid
             self._expire(now)
             self._images.tell(now)
             changed = self._renew()
--- a/pulleydeal/lateness.py
+++ b/pulleydeal/lateness.py
@@ -38,7 +38,7 @@
     def pause_s(self, precedence: Precedence) -> float:
         """How long a round of a loop is put off now; bounded, so that nothing starves."""
         if precedence is Precedence.PLACEMENT and self.late_s > c.LATE_PLACEMENT_S:
-            return min(self.late_s, c.LATE_PAUSE_MOST_S)
+            return min(self.late_s, c.LATE_PLACEMENT_PAUSE_S)
         if precedence is Precedence.UPKEEP and self.late_s > c.LATE_UPKEEP_S:
             return min(2 * self.late_s, c.LATE_PAUSE_MOST_S)
         return 0.0
--- a/tests/test_credits.py
+++ b/tests/test_credits.py
@@ -1,5 +1,7 @@
 """The credit queue: who gets which credit, and what makes room."""
 
+from collections import Counter
+
 from pulleydeal.credits.messages import (
     Ask,
     Free,
@@ -24,6 +26,7 @@
     order,
     probe,
 )
+from pulleydeal.credits.sweep import Sweep
 from pulleydeal.credits.totals import totals
 from pulleydeal.membership.messages import Beat, Total, pack_beat, unpack_beat
 
@@ -206,3 +209,19 @@
     assert (total.gpus, total.largest_gpus, total.images) == (0.0, 0.0, {})
     assert total.stoppable == {"img": (1.0, 4.0)}
     assert totals([kept], {})[0].stoppable == {}  # it waits here no more
+
+
+def test_a_sweep_comes_by_every_name_once_a_period_a_share_at_a_time() -> None:
+    names = [f"vm-{i}" for i in range(1_000)]
+    sweep = Sweep(lambda: names, 2.0)
+    assert sweep.due(0.0) == sorted(names)  # nothing is known of before
+    seen: Counter[str] = Counter()
+    shares = []
+    for i in range(1, 21):
+        due = sweep.due(i * 0.1)
+        shares.append(len(due))
+        seen.update(due)
+    assert len(seen) >= 990 and max(seen.values()) <= 2 and max(shares) <= 55
+    names.append("vm-new")
+    assert "vm-new" in {name for i in range(21, 65) for name in sweep.due(i * 0.1)}
+    assert sweep.due(60.0) == sorted(names)  # after a long while all are due
--- a/tests/test_lateness.py
+++ b/tests/test_lateness.py
@@ -31,7 +31,8 @@
     assert pauses(0.3) == [False, False, True]
     assert pauses(0.7) == [False, True, True]
     assert pauses(60.0) == [False, True, True]
-    assert max(map(lateness.pause_s, orders)) <= c.LATE_PAUSE_MOST_S < c.ASK_TTL_S
+    assert lateness.pause_s(Precedence.PLACEMENT) <= c.LATE_PLACEMENT_PAUSE_S
+    assert lateness.pause_s(Precedence.UPKEEP) <= c.LATE_PAUSE_MOST_S < c.ASK_TTL_S
     for _ in range(10):
         lateness.note(-0.001)
     assert not any(map(lateness.pause_s, orders))
