--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -42,6 +42,7 @@
         type=Path,
         help="served: a folder with reports of days (JSON); profile: with samples (*.raw)",
     )
+    parser.add_argument("--only", action="append", default=[], help="scale: only these sweeps")
     options = parser.parse_args()
     module = importlib.import_module(f"experiments.{options.name}")
     began = time.monotonic()
@@ -49,8 +50,12 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(128 + signal.SIGTERM))
     if options.days is not None and options.name not in ("profile", "served"):
         parser.error("--days goes with profile or served")
+    if options.only and options.name != "scale":
+        parser.error("--only goes with scale")
     if options.days is not None:
         report = module.read(options.days)
+    elif options.only:
+        report = asyncio.run(module.run(options.quick, options.seed, options.only))
     else:
         report = asyncio.run(module.run(options.quick, options.seed))
     console = Console(width=max(100, Console().width))
