--- a/pulleydeal/journal/decide.py
+++ b/pulleydeal/journal/decide.py
@@ -42,6 +42,14 @@
         return packed(self.facts, self.limits.value_b) or [[]]
 
 
+def is_suited(spec: r.JobSpec) -> bool:
+    """Services run for days and change seldom: their facts would only be written anew. A gang that
+    is larger than one draft could never be bound."""
+    if spec.kind == "gang":
+        return spec.tasks <= c.JOURNAL_DRAFT_CHUNKS * c.CHUNK_TASKS
+    return spec.kind == "array"
+
+
 def start_of(place: str) -> str:
     """Whose journal a value belongs to: the name and incarnation of a node's start."""
     return place.rpartition("/")[0]
--- a/pulleydeal/journal/service.py
+++ b/pulleydeal/journal/service.py
@@ -54,8 +54,7 @@
         return f"{self._membership.me}.{self._membership.incarnation}"
 
     def takes(self, spec: r.JobSpec) -> bool:
-        """Services run for days and change seldom: their facts would only be written anew."""
-        return self.is_on and spec.kind != "service" and self._membership.all_serve(FEATURE, FORMAT)
+        return self.is_on and decide.is_suited(spec) and self._membership.all_serve(FEATURE, FORMAT)
 
     # --- appending ----------------------------------------------------------------------------
     async def append(self, job: str, make: MakeDraft, turn: Turn) -> bool:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -208,6 +208,14 @@
     assert over is not None and not over.restated
 
 
+def test_which_jobs_are_journaled() -> None:
+    def suited(kind: str, tasks: int) -> bool:
+        return decide.is_suited(msgspec.structs.replace(SPEC, kind=kind, tasks=tasks))
+
+    assert suited("array", 100_000) and suited("gang", 128) and suited("gang", 384)
+    assert not suited("gang", 385) and not suited("service", 3)
+
+
 def test_whose_journal_is_whose() -> None:
     members = {"winch.0": "abc"}
     assert decide.start_of("winch.0.abc/0000001f") == "winch.0.abc"
