--- a/experiments/profile.py
+++ b/experiments/profile.py
@@ -1,6 +1,6 @@
 """Where a node's processor time goes: a sampling profiler over three nodes of a small cell.
 
-With `--days DIR` it reads profiles that were recorded elsewhere (py-spy's raw format, *.raw).
+With `--days DIR` it reads profiles that `experiments.record` left (py-spy's raw format, *.raw).
 """
 
 import asyncio
@@ -111,7 +111,8 @@
     return report
 
 
-async def _record(pid: int, path: Path, for_s: float) -> None:
+async def record(pid: int, path: Path, for_s: float) -> None:
+    """Samples a process for so long, or until it ends."""
     words = ["-m", "py_spy", "record", "--nonblocking", "--format", "raw"]
     tool = Path(sys.executable).with_name("py-spy")
     command = [str(tool), *words[2:]] if tool.is_file() else [sys.executable, *words]
@@ -141,7 +142,7 @@
             nodes = {node: process.pid for node, process in cell.processes.items()}
             await asyncio.gather(
                 *(
-                    _record(pid, folder / f"{node}.raw", for_s - START_S)
+                    record(pid, folder / f"{node}.raw", for_s - START_S)
                     for node, pid in nodes.items()
                 )
             )
