--- a/experiments/profile.py
+++ b/experiments/profile.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -26,32 +27,72 @@
 WAITING = "select (selectors.py"  # a loop that has nothing to do
 SOURCE_LINE = re.compile(r":\d+\)$")
 
-# Place -> what its cost grows with. Anything else is shown without a unit.
-GROWS_WITH = {
-    "Server._connection (pulleydeal/http.py)": "requests (reports, users')",
-    "Workers.checkin (pulleydeal/workers/service.py)": "reports",
-    "_read_request (pulleydeal/http.py)": "requests (reports, users')",
-    "_send (pulleydeal/http.py)": "requests (reports, users')",
-    "Connection.next_event (h11/_connection.py)": "requests, both ways",
-    "Connection.send (h11/_connection.py)": "requests, both ways",
-    "Client.send (pulleydeal/http.py)": "orders and state calls",
-    "Workers._plan (pulleydeal/workers/service.py)": "reports of machines that changed",
-    "Workers.work (pulleydeal/workers/service.py)": "machines, each second; changes",
-    "Eviction.tend (pulleydeal/workers/eviction.py)": "machines, twice a second",
-    "Credits.work (pulleydeal/credits/service.py)": "rounds, changed machines, asks",
-    "Credits._publish (pulleydeal/credits/service.py)": "machines with credit, five times a second",
-    "totals (pulleydeal/credits/totals.py)": "machines with credit, five times a second",
-    "Placement.work (pulleydeal/placement/service.py)": "open jobs that are led here, a round",
-    "Placement._round (pulleydeal/placement/service.py)": "open jobs that are led here, a round",
-    "Membership.send_beat (pulleydeal/membership/service.py)": "published totals, each beat",
-    "Membership._on_beat (pulleydeal/membership/service.py)": "members x published totals",
-    "Siblings._accept (pulleydeal/membership/siblings.py)": "members x messages",
-    "Replica.apply (pulleydeal/store/replica.py)": "changes of all nodes",
-    "Store._write (pulleydeal/store/service.py)": "own changes",
-    "Store.commit (pulleydeal/store/service.py)": "own changes",
-    "Fleet.rent (pulleydeal/fleet/service.py)": "machines and open jobs, each second (leader)",
-    "Fleet.give_back (pulleydeal/fleet/service.py)": "machines, each second (leader)",
+
+@dataclass(frozen=True)
+class Known:
+    """What is known of a place."""
+
+    grows_with: str
+    anew: str  # what of it is done again though nothing changed
+
+
+REQUEST = Known("requests: reports, users', beside them", "each request once")
+CALL = Known("orders and state calls", "each call once")
+REPORT = Known("reports", "the answer; a plan only of machines that changed")
+PUBLISHED = Known(
+    "machines with credit", "all of them, up to five times a second, when one changed"
+)
+RENEWED = Known("machines that changed", "all once in two seconds, a share at a time")
+BEAT = Known("members x published totals", "whole totals, twice a second")
+PLACED = Known("open jobs that are led here", "all of them, each round")
+FLEET = Known("machines and open jobs, at one node", "all of them, each second")
+ROUND = Known("machines", "a look at each, once or twice a second")
+CHANGE = Known("changes", "each once")
+KNOWN = {
+    "Server._connection (pulleydeal/http.py)": REQUEST,
+    "Server._respond (pulleydeal/http.py)": REQUEST,
+    "Server._next (pulleydeal/http.py)": REQUEST,
+    "App.handle (pulleydeal/app.py)": REQUEST,
+    "_read_request (pulleydeal/http.py)": REQUEST,
+    "_send (pulleydeal/http.py)": REQUEST,
+    "Connection.next_event (h11/_connection.py)": REQUEST,
+    "Connection._process_event (h11/_connection.py)": REQUEST,
+    "Connection._extract_next_receive_event (h11/_connection.py)": REQUEST,
+    "Connection.send (h11/_connection.py)": REQUEST,
+    "Connection.send_with_data_passthrough (h11/_connection.py)": REQUEST,
+    "Client.send (pulleydeal/http.py)": CALL,
+    "Client.request (pulleydeal/http.py)": CALL,
+    "Client._exchange (pulleydeal/http.py)": CALL,
+    "StateClient._call (pulleydeal/store/client.py)": CALL,
+    "Workers.checkin (pulleydeal/workers/service.py)": REPORT,
+    "Workers._take (pulleydeal/workers/service.py)": REPORT,
+    "absorb (pulleydeal/workers/station.py)": REPORT,
+    "Workers._plan (pulleydeal/workers/service.py)": REPORT,
+    "Workers.work (pulleydeal/workers/service.py)": ROUND,
+    "Eviction.tend (pulleydeal/workers/eviction.py)": ROUND,
+    "Credits.work (pulleydeal/credits/service.py)": RENEWED,
+    "Credits._renew (pulleydeal/credits/service.py)": RENEWED,
+    "Credits._credit (pulleydeal/credits/service.py)": RENEWED,
+    "CreditMaker.credit (pulleydeal/credits/making.py)": RENEWED,
+    "Credits._publish (pulleydeal/credits/service.py)": PUBLISHED,
+    "totals (pulleydeal/credits/totals.py)": PUBLISHED,
+    "Placement.work (pulleydeal/placement/service.py)": PLACED,
+    "Placement._round (pulleydeal/placement/service.py)": PLACED,
+    "Membership.send_beat (pulleydeal/membership/service.py)": BEAT,
+    "Membership._on_beat (pulleydeal/membership/service.py)": BEAT,
+    "unpack_beat (pulleydeal/membership/messages.py)": BEAT,
+    "Siblings._accept (pulleydeal/membership/siblings.py)": BEAT,
+    "Store.follow (pulleydeal/store/service.py)": CHANGE,
+    "StateClient.watch (pulleydeal/store/client.py)": CHANGE,
+    "Replica.apply (pulleydeal/store/replica.py)": CHANGE,
+    "Store._write (pulleydeal/store/service.py)": CHANGE,
+    "Store._drain (pulleydeal/store/service.py)": CHANGE,
+    "Store.commit (pulleydeal/store/service.py)": CHANGE,
+    "Fleet.rent (pulleydeal/fleet/service.py)": FLEET,
+    "Fleet._demand (pulleydeal/fleet/service.py)": FLEET,
+    "Fleet.give_back (pulleydeal/fleet/service.py)": FLEET,
 }
+UNKNOWN = Known("", "")
 # Frames that hold everything below them: nothing is learned from their share.
 FRAMES_PASSED = ("run", "forever", "Runner.", "BaseEventLoop.", "Handle._run", "main", "serve")
 
@@ -94,7 +135,8 @@
         row: dict[str, Any] = {"place": frame, "share": share}
         if cores is not None:
             row["ms a second"] = share * cores * 1000
-        row["grows with"] = GROWS_WITH.get(frame, "")
+        known = KNOWN.get(frame, UNKNOWN)
+        row |= {"grows with": known.grows_with, "anew": known.anew}
         found.append(row)
     return found
 
