--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -321,6 +321,7 @@
     """What came about of what was offered, by chunks and by journals, on the same seeds."""
     head = [
         "workers",
+        "nodes",
         "offered",
         "way",
         "starts/s",
@@ -334,6 +335,7 @@
         "starts, journal": "journals",
         "starts, limits raised": "chunks, limits raised",
         "more nodes": "",
+        "more nodes": "",
         "a cell": "",
     }
     cells = []
@@ -344,6 +346,7 @@
             cells.append(
                 [
                     f"{row['workers']:,}",
+                    f"{row['nodes']}",
                     f"{row['offered starts/s']:.0f}",
                     way or usual,
                     f"{row['starts/s']:.1f}",
