--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -16,6 +16,7 @@
 from pulleydeal.policy.settings import Policy
 from pulleydeal.settings import Objective, StateLimits, Team
 from pulleydeal.store import records as r
+from pulleydeal.store.client import Unknown
 from pulleydeal.store.rate import Turn
 from pulleydeal.store.replica import Machine
 from pulleydeal.store.service import Store
@@ -61,6 +62,7 @@
         self._recent: dict[str, dict[str, tuple[float, r.JobSpec]]] = {}  # class -> job -> came
         self._clock = clock
         self._serial = 0
+        self._unanswered = ""  # the name of a rental whose write got no answer
         self._refused: dict[plan.Kind, float] = {}
         self._idle_since: dict[str, float] = {}
         self._looked_at = -1e9  # when unneeded machines were last looked for
@@ -104,14 +106,27 @@
                 type_, zone, spot, min(count, self._most_rented), self._clock.wall()
             )
             # Durable before it is asked for: whoever leads next repeats it under this name.
-            ok = await self._store.commit(
-                {r.VIEW: self._replica.view_version, r.rental_key(name): 0},
-                {r.rental_key(name): record},
-            )
-            if ok:
+            if await self._write_rental(name, record):
                 names.append(name)
         await asyncio.gather(*(self._ask(name) for name in names))
 
+    async def _write_rental(self, name: str, record: r.RentalRecord) -> bool:
+        """Makes a rental durable. A write without an answer may be carried out later, also when
+        the rental is over: so the next one of its name moves the view's mark, on which the first
+        was conditional (docs/incidents/rental-name.md)."""
+        puts: dict[str, object] = {r.rental_key(name): record}
+        if name == self._unanswered:
+            puts[r.VIEW] = self._replica.view
+        conditions = {r.VIEW: self._replica.view_version, r.rental_key(name): 0}
+        try:
+            written = await self._store.commit(conditions, puts)
+        except Unknown:
+            self._unanswered = name
+            raise
+        if name == self._unanswered:
+            self._unanswered = ""
+        return written
+
     def _demand(self) -> plan.Demand:
         now = self._clock.now()
         self._refused = {k: until for k, until in self._refused.items() if until > now}
