--- a/pulleydeal/journal/service.py
+++ b/pulleydeal/journal/service.py
@@ -44,6 +44,10 @@
         self._pump: asyncio.Task[None] | None = None
         # An append got no answer and may still be carried out: the next one has its name.
         self._in_doubt = False
+        # Numbers of appends that once got no answer, with the views' marks that they were made
+        # under: as long as one of these stands, an earlier try may still come, and only the value
+        # that has its name keeps it out.
+        self._doubted: dict[int, set[int]] = {}
         self._next = 0
         self._restated = 0
         self.is_on = False  # by the operators, at this node
@@ -100,6 +104,9 @@
         puts: dict[str, object] = dict(zip(keys, values, strict=True))
         try:
             written = await self._store.commit(conditions, puts, turn=None)
+        except Unknown:
+            self._doubted.setdefault(self._next, set()).add(conditions[r.VIEW])
+            raise
         except (TooLarge, Refused) as error:
             log.error("append given up: %s", error)
             if not self._in_doubt:
@@ -183,7 +190,14 @@
         if not self._membership.is_member or not self._replica.journals:
             return
         limits = self._store.limits
-        tidy = decide.tidying(self._replica.journals, self._looks_after, self._replica, limits)
+        self._doubted = {
+            number: marks
+            for number, marks in self._doubted.items()
+            if self._replica.view_version in marks
+        }
+        kept = {f"{self.start}/{number:08x}" for number in self._doubted}
+        journals = {p: v for p, v in self._replica.journals.items() if p not in kept}
+        tidy = decide.tidying(journals, self._looks_after, self._replica, limits)
         if tidy is not None:
             await self._tidy(tidy)
 
--- a/tests/model/journal.py
+++ b/tests/model/journal.py
@@ -27,6 +27,7 @@
 GUARDS = {
     "view": "an append is conditional on the view's mark",
     "name": "an append is conditional on the absence of its own name",
+    "kept": "a value whose name was once in doubt is not dropped under that view",
     "read": "a leader has read all that was written under older views",
 }
 
@@ -45,6 +46,7 @@
     own: frozenset[int] = frozenset()  # places of its own appends that it shows already
     number: int = 0  # of its next append
     doubt: Append | None = None  # without an answer
+    doubted: frozenset[tuple[int, int]] = frozenset()  # numbers that ever were, and in which view
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +55,7 @@
     a: Node = Node()
     b: Node = Node()
     late: tuple[Append, ...] = ()  # may be applied yet
+    dropped: frozenset[int] = frozenset()  # places of values that are there no more
     on: tuple[tuple[int, int], ...] = ()  # job, attempt: there on the machine
     exited: tuple[tuple[int, int], ...] = ()  # the machine has reported their ends
 
@@ -103,11 +106,34 @@
 
 
 def applies(s: State, append: Append, without: str) -> bool:
-    names = {(e.writer, e.number) for e in s.log if e is not None}
+    there = (e for i, e in enumerate(s.log) if i not in s.dropped)
+    names = {(e.writer, e.number) for e in there if e is not None}
     free = (append.writer, append.number) not in names
     return (without == "view" or append.view == view_at(s.log)) and (without == "name" or free)
 
 
+def in_doubt(node: Node, append: Append) -> Node:
+    return replace(node, doubt=append, doubted=node.doubted | {(append.number, append.view)})
+
+
+def drops(s: State, name: str, without: str) -> Iterator[Step]:
+    """Its own values that say nothing any more: empty, or of attempts that have ended since."""
+    node = node_of(s, name)
+    if node.read < len(s.log):
+        return
+    found = tasks(list(s.log))
+    for i, entry in enumerate(s.log):
+        if entry is None or entry.writer != name or i in s.dropped:
+            continue
+        counts = any(
+            found[job].attempt == attempt and (not bound or found[job].machine)
+            for job, attempt, bound in entry.facts
+        )
+        kept = without != "kept" and (entry.number, view_at(s.log)) in node.doubted
+        if not counts and not kept:
+            yield f"{name} drops {entry.number}", replace(s, dropped=s.dropped | {i})
+
+
 def commits(s: State, name: str, append: Append, what: str, without: str) -> Iterator[Step]:
     """An append that is made now: answered, applied without an answer, or still to come."""
     node = node_of(s, name)
@@ -115,9 +141,9 @@
         done = replace(s, log=(*s.log, append))
         own = replace(node, own=node.own | {len(s.log)}, number=node.number + 1, doubt=None)
         yield f"{name} {what}", with_node(done, name, own)
-        yield f"{name} {what}, unanswered", with_node(done, name, replace(node, doubt=append))
+        yield f"{name} {what}, unanswered", with_node(done, name, in_doubt(node, append))
     if not s.late:
-        held = with_node(replace(s, late=(append,)), name, replace(node, doubt=append))
+        held = with_node(replace(s, late=(append,)), name, in_doubt(node, append))
         yield f"{name} {what}, still to come", held
 
 
@@ -169,6 +195,7 @@
 def steps(s: State, without: str) -> Iterator[Step]:
     for name in NODES:
         node = node_of(s, name)
+        yield from drops(s, name, without)
         if node.read < len(s.log):
             yield f"{name} reads", with_node(s, name, replace(node, read=node.read + 1))
         if len(s.log) >= MOST_ENTRIES:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -274,26 +274,38 @@
     async def fresh(self) -> None:
         return
 
-    def apply(self, conditions: dict[str, int], puts: dict[str, object]) -> bool:
+    def apply(
+        self, conditions: dict[str, int], puts: dict[str, object], drops: Sequence[str] = ()
+    ) -> bool:
         if any(self.keys.get(key, 0) != mark for key, mark in conditions.items()):
             return False
         self.revision += 1
         self.keys |= dict.fromkeys(puts, self.revision)
         put(self.replica, self.revision, puts)
+        for key in drops:
+            del self.keys[key]
+            self.replica.apply(m.Changes(self.revision, [m.Event(self.revision, None, key)]))
         return True
 
     async def commit(
-        self, conditions: dict[str, int], puts: dict[str, Any], *_: object, **__: object
+        self,
+        conditions: dict[str, int],
+        puts: dict[str, Any],
+        drops: Sequence[str] = (),
+        **_: object,
     ) -> bool:
         fate = self.plan.pop(0) if self.plan else "answered"
         if fate == "late":
             self.held.append((conditions, puts))
             raise Unknown("no answer")
-        done = self.apply(conditions, puts)
+        done = self.apply(conditions, puts, drops)
         if fate == "unanswered":
             raise Unknown("no answer")
         return done
 
+    def leads(self, _: str) -> bool:
+        return True
+
     def append(self, change: Callable[[Draft], None]) -> bool:
         def make() -> Draft:
             return drafted(self.replica, change)
@@ -335,6 +347,31 @@
     assert node.append(ended("lost")) and not node.replica.jobs["j-1"].task(0).machine
 
 
+def test_the_value_that_keeps_an_append_from_coming_is_not_dropped_while_it_may_come(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It is empty, so nothing counts in it; dropped, its name was free for what it kept out."""
+    monkeypatch.setattr(c, "JOURNAL_TIDY_S", 0.0)
+    node = OneNode(r.Task("vm-1", 1), r.Task("vm-1", 1))
+    node.plan = ["late"]
+    wanted = [True]
+
+    def bind_once(draft: Draft) -> None:
+        if wanted.pop() if wanted else False:
+            ended("lost")(draft)
+
+    assert node.append(bind_once) and len(values_of(node)) == 2
+    for _ in range(3):
+        asyncio.run(node.journal.tidy())
+    assert [node.apply(*held) for held in node.held] == [False]
+    assert len(values_of(node)) == 2
+    put(node.replica, 50, {r.VIEW: r.View(2, {"n": "1"})})
+    node.keys[r.VIEW] = 50  # made under the view before, it can't come any more
+    asyncio.run(node.journal.tidy())
+    assert len(values_of(node)) == 1
+    assert [node.apply(*held) for held in node.held] == [False]
+
+
 def test_a_job_whose_mark_moved_keeps_its_facts_from_being_written() -> None:
     node = OneNode(r.Task("vm-1", 1))
     node.keys["p/j/j-1"] = 9  # cancelled by another node, and not seen here yet
