--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -27,6 +27,7 @@
     "scale",
     "served",
     "startup",
+    "takeover",
     "zoneloss",
 )
 
--- a/pulleydeal/app.py
+++ b/pulleydeal/app.py
@@ -72,7 +72,7 @@
             deployment.workers,
             clock,
             stations,
-            self.workers.orders,
+            self.workers.commanding,
             kept,
             rules.aimed(deployment.objectives),
         )
--- a/pulleydeal/cli.py
+++ b/pulleydeal/cli.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from pulleydeal import __version__, logs
+from pulleydeal import __version__, logs, timeline
 from pulleydeal.features.settings import Features, FeaturesError
 from pulleydeal.features.settings import load as load_features
 from pulleydeal.policy.settings import Policy, PolicyError
@@ -50,6 +50,9 @@
         command.add_argument("job", help="the job's id")
     for command in (submit, status, cancel):
         command.add_argument("--node", required=True, help="a node's address, HOST:PORT")
+    timeline = commands.add_parser("timeline", help="a task's life, from the logs of all nodes")
+    timeline.add_argument("task", help="JOB/INDEX, such as j-000412/3")
+    timeline.add_argument("logs", type=Path, nargs="+", help="logs of nodes, as text or JSON")
     for name in ("rollout", "service"):
         commands.add_parser(name, help="named services and their roll-outs: see its own --help")
     commands.add_parser("cron", help="cron tables: see its own --help")
@@ -84,6 +87,8 @@
         return serve(settings, policy, features)
     if options.command == "policy":
         return check_policy(options.file)
+    if options.command == "timeline":
+        return show_timeline(options.task, options.logs)
     if options.command == "submit":
         source = sys.stdin.buffer if str(options.file) == "-" else None
         try:
@@ -98,6 +103,17 @@
     return call(options.node, "POST", path + "/cancel")
 
 
+def show_timeline(task: str, logs: list[Path]) -> int:
+    """Exit code 1: by the logs, attempts of the task overlap."""
+    try:
+        lines, overlapping = timeline.report(task, logs)
+    except timeline.TimelineError as error:
+        print(f"pulleydeal: {error}", file=sys.stderr)
+        return 2
+    print("\n".join(lines))
+    return int(overlapping)
+
+
 def check_policy(path: Path) -> int:
     try:
         if not path.is_file():
--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -77,6 +77,9 @@
 RENEW_MARGIN_S = 3.0  # how much earlier than strictly needed a blind node stops renewing
 ORDERS_TIMEOUT_S = 3.0  # an order unanswered this long has an unknown outcome: fence
 ORDERS_IN_FLIGHT = 16  # at most so many direct orders at once: bounds sockets and memory
+ORDER_QUEUE_MOST_S = (
+    1.0  # an order that waits longer is planned anew: check-ins, each 3 s, carry it
+)
 PROBES_IN_FLIGHT = 32  # likewise of orders without calls: many of them hang on dead machines
 PROBE_TIMEOUT_S = 1.5  # for those: a living machine answers within milliseconds
 SILENT_REPORTS = 2.5  # report periods of silence after which a machine gives no credit
--- a/pulleydeal/http.py
+++ b/pulleydeal/http.py
@@ -27,6 +27,17 @@
         self.sent = sent
 
 
+class Withdrawn(NoAnswer):
+    """The caller did not want the request any more when a connection for it was ready."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason, sent=False)
+
+
+def _always() -> bool:
+    return True
+
+
 @dataclass(slots=True)
 class Request:
     method: str
@@ -211,8 +222,11 @@
         self.address = address
         self._clock = clock
         self._idle: list[_Pooled] = []
+        self._closed = False
 
     def close(self) -> None:
+        """Closes what is kept; a request in flight goes on, and its connection ends with it."""
+        self._closed = True
         for pooled in self._idle:
             pooled.writer.close()
         self._idle.clear()
@@ -226,21 +240,38 @@
         self._idle = keep
 
     async def request(
-        self, method: str, path: str, body: object = None, timeout: float = 5.0
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        timeout: float = 5.0,
+        still_wanted: Callable[[], bool] = _always,
     ) -> tuple[int, bytes]:
         payload = b"" if body is None else msgspec.json.encode(body)
-        return await self.send(method, path, payload, timeout)
+        return await self.send(method, path, payload, timeout, still_wanted)
 
     async def send(
-        self, method: str, path: str, payload: bytes, timeout: float
+        self,
+        method: str,
+        path: str,
+        payload: bytes,
+        timeout: float,
+        still_wanted: Callable[[], bool] = _always,
     ) -> tuple[int, bytes]:
-        """A request with a body as it stands. Raises NoAnswer."""
+        """A request with a body as it stands. Raises NoAnswer.
+
+        `still_wanted` is asked once there is a connection, right before the first byte is written;
+        when it says no, nothing is sent and Withdrawn is raised.
+        """
         sent = False
         pooled: _Pooled | None = None
         try:
             async with asyncio.timeout(timeout):
                 self.drop_stale()
                 pooled = self._idle.pop() if self._idle else await self._connect()
+                if not still_wanted():
+                    self._put_back(pooled)
+                    raise Withdrawn(f"{method} {path}: withdrawn")
                 sent = True
                 status, reply = await self._exchange(pooled, method, path, payload)
         except (OSError, TimeoutError, h11.ProtocolError, EOFError) as error:
@@ -265,10 +296,16 @@
         if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
             conn.start_next_cycle()
             pooled.used = self._clock.now()
-            self._idle.append(pooled)
+            self._put_back(pooled)
         else:
             pooled.writer.close()
 
+    def _put_back(self, pooled: _Pooled) -> None:
+        if self._closed:
+            pooled.writer.close()
+        else:
+            self._idle.append(pooled)
+
     async def _exchange(
         self, pooled: _Pooled, method: str, path: str, payload: bytes
     ) -> tuple[int, bytes]:
--- a/pulleydeal/metrics.py
+++ b/pulleydeal/metrics.py
@@ -66,5 +66,24 @@
             registry=registry,
         )
 
+        self.decisions = Counter(
+            "pulleydeal_decisions",
+            "Starts, stops, clears, ends, bindings, answers and views, allowed or refused",
+            ["action", "verdict"],
+            registry=registry,
+        )
+        self.orders_withdrawn = Counter(
+            "pulleydeal_orders_withdrawn",
+            "Direct orders and probes that were not sent, by why their right had lapsed",
+            ["why"],
+            registry=registry,
+        )
+        self.order_wait = Histogram(
+            "pulleydeal_order_wait_seconds",
+            "From the plan of a direct order to its first byte",
+            buckets=(0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 4),
+            registry=registry,
+        )
+
     def text(self) -> bytes:
         return generate_latest(self.registry)
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -10,6 +10,7 @@
 from pulleydeal.clock import Clock
 from pulleydeal.credits.asks import ask_for
 from pulleydeal.credits.messages import Free, pack_ask, pack_free, unpack_hold
+from pulleydeal.decisions import Action, Decision, DecisionLog
 from pulleydeal.membership.messages import ASK, FREE, HOLD
 from pulleydeal.membership.service import Membership
 from pulleydeal.membership.siblings import Siblings
@@ -54,6 +55,7 @@
         self._objectives = objectives
         self._clock = clock
         self._metrics = metrics
+        self._decisions = DecisionLog(membership, store, clock, metrics)
         self._lock = threading.Lock()
         self._pending = PendingAsks()
         self._failures = Failures()
@@ -376,11 +378,14 @@
                 self._failures.ran_on(key, task.machine)
                 if task.attempt == 1:
                     self._metrics.start_wait.observe(wait)
-                log.info(
-                    "bound %s/%d attempt %d to %s",
-                    *key,
-                    task.attempt,
-                    task.machine,
-                    extra={"job": key[0], "task": key[1], "machine": task.machine},
+                self._decisions.write(
+                    Decision(
+                        Action.BIND,
+                        "credit spent",
+                        f"{key[0]}/{key[1]}",
+                        task.attempt,
+                        task.machine,
+                        waited_s=wait,
+                    )
                 )
         self._wake.set()
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -12,6 +12,7 @@
 from pulleydeal.clock import Clock
 from pulleydeal.credits.messages import Need
 from pulleydeal.credits.queue import Room
+from pulleydeal.decisions import Action, Decision, DecisionLog
 from pulleydeal.http import MALFORMED, Request, Response, answer
 from pulleydeal.membership.service import Membership
 from pulleydeal.metrics import Metrics
@@ -75,6 +76,7 @@
         self._zones = zones
         self._clock = clock
         self._metrics = metrics
+        self._decisions = DecisionLog(membership, store, clock, metrics)
         self._reason = reason
         self._admission = Admission()
         self._keeping = keeping
@@ -169,7 +171,7 @@
                     extra={"job": spec.id},
                 )
                 # As it stands now: it may have been called off elsewhere before this was answered.
-                return answer(201, self._state(self._replica.jobs[spec.id]))
+                return self._told(201, self._state(self._replica.jobs[spec.id]), logging.INFO)
             if spec.id in self._replica.jobs:
                 return await self.show(spec.id)
         return answer(503, {"error": "the view keeps changing"}, c.RETRY_AFTER_S)
@@ -238,7 +240,13 @@
         # tasks are proved gone, which may take longer than a job may go without an answer.
         if self._held_back(job) and not self._membership.all_keep(c.FORMAT_VOUCHES):
             return answer(503, {"error": "its cancellation is under way"}, c.RETRY_AFTER_S)
-        return answer(200, self._state(job))
+        return self._told(200, self._state(job), logging.DEBUG)
+
+    def _told(self, status: int, state: m.State, level: int) -> Response:
+        """The answer, with a line in the decision log."""
+        why = f"{status} {state.state}"
+        self._decisions.write(Decision(Action.ANSWER, why, state.id), level)
+        return answer(status, state)
 
     def _held_back(self, job: Job) -> bool:
         """Cancelled, and told to nobody, as a node out of reach may still keep one of its tasks.
@@ -297,8 +305,7 @@
         if not self._is_final(job):
             return answer(503, {"error": "try again"}, c.RETRY_AFTER_S)
         told = "cancelled" if job.is_cancelled else "done"
-        log.info("job %s: its user hears %s", job_id, told, extra={"job": job_id})
-        return answer(200, m.State(job_id, told))
+        return self._told(200, m.State(job_id, told), logging.INFO)
 
     def _cancel(self, draft: Draft) -> None:
         if draft.status == "open":
--- /dev/null
+++ b/pulleydeal/workers/commanding.py
@@ -0,0 +1,113 @@
+"""Gives commands to owned machines: takes the right to each, checks it again, and logs both."""
+
+from collections.abc import Callable
+from typing import Any
+
+from pulleydeal.clock import Clock
+from pulleydeal.decisions import Action, Decision, DecisionLog
+from pulleydeal.membership import view as views
+from pulleydeal.membership.service import Membership
+from pulleydeal.metrics import Metrics
+from pulleydeal.store.replica import Replica
+from pulleydeal.workers import messages as m
+from pulleydeal.workers.commands import CommandRight, Lapse, Order, lapse
+from pulleydeal.workers.ends import Ends
+from pulleydeal.workers.incarnation import Known
+from pulleydeal.workers.orders import Orders
+from pulleydeal.workers.station import Start, Station
+
+Calls = list[dict[str, Any]]
+TakeReport = Callable[[Station, m.Report, Known | None], None]
+
+
+class Commanding:
+    """`take_report`: is given reports that come back from orders; `replan`: a machine whose order
+    was not sent; `reachability_changed`: one that begins or ceases to answer."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        replica: Replica,
+        clock: Clock,
+        metrics: Metrics,
+        decisions: DecisionLog,
+        stations: dict[str, Station],
+        ends: Ends,
+        take_report: TakeReport,
+        replan: Callable[[str], None],
+        reachability_changed: Callable[[str], None],
+    ) -> None:
+        self._membership = membership
+        self._replica = replica
+        self._clock = clock
+        self._metrics = metrics
+        self._decisions = decisions
+        self._stations = stations
+        self._ends = ends
+        self._replan = replan
+        self.reported = take_report
+        self.reachability_changed = reachability_changed
+        self.orders = Orders(clock, self)
+
+    def token(self, station: Station) -> int:
+        return views.token(self._membership.epoch, station.fence)
+
+    def right(self, station: Station) -> CommandRight:
+        return CommandRight(self._membership.epoch, self.token(station), station.session)
+
+    def give(self, station: Station, calls: Calls, runs: list[Start]) -> None:
+        """Sends commands straight to a machine, if the right to them still holds by then."""
+        self.orders.give(Order(station, self.right(station), calls, runs, self._clock.now()))
+
+    def probe(self, station: Station) -> None:
+        """Asks a machine whose reports stay out: silence alone may be a lost packet's."""
+        if station.addr and not station.busy:
+            self.give(station, [], [])
+
+    def log(
+        self,
+        station: Station,
+        right: CommandRight,
+        calls: Calls,
+        why: str,
+        waited_s: float = 0.0,
+        allowed: bool = True,
+    ) -> None:
+        """A line for each command that is sent, or that is not sent any more."""
+        for call in calls:
+            action = m.ACTIONS[call["call"]]
+            if action is Action.START and allowed:
+                self._metrics.starts.inc()
+            decision = Decision(
+                action,
+                why,
+                call["lift"],
+                call["pull"],
+                station.id,
+                right.token,
+                right.session,
+                station.seq,
+                waited_s,
+                allowed,
+            )
+            self._decisions.write(decision)
+
+    # --- what the orders in flight ask ------------------------------------------------------
+    def lapse(self, order: Order) -> Lapse | None:
+        machine = order.station.id
+        may_start = all(self._may_start(machine, start) for start in order.runs)
+        return lapse(order, self._stations.get(machine), self.right(order.station), may_start)
+
+    def _may_start(self, machine: str, start: Start) -> bool:
+        job, index, attempt = start
+        task = self._replica.bound.get(machine, {}).get((job, index))
+        return task is not None and task.attempt == attempt and start not in self._ends.pending
+
+    def is_sent(self, order: Order, waited_s: float) -> None:
+        self._metrics.order_wait.observe(waited_s)
+        self.log(order.station, order.right, order.calls, "order", waited_s)
+
+    def withdrawn(self, order: Order, why: Lapse, waited_s: float) -> None:
+        self._metrics.orders_withdrawn.labels(why.value).inc()
+        self.log(order.station, order.right, order.calls, why.value, waited_s, allowed=False)
+        self._replan(order.station.id)
--- a/pulleydeal/workers/eviction.py
+++ b/pulleydeal/workers/eviction.py
@@ -16,8 +16,8 @@
 from pulleydeal.store.reasons import RETURNED
 from pulleydeal.store.service import Store
 from pulleydeal.workers.changes import apply_stop
+from pulleydeal.workers.commanding import Commanding
 from pulleydeal.workers.keeping import Keeping
-from pulleydeal.workers.orders import Orders
 from pulleydeal.workers.reachability import (
     one_way_for_long,
     out_of_sight,
@@ -38,7 +38,7 @@
         times: WorkerTimes,
         clock: Clock,
         stations: dict[str, Station],
-        orders: Orders,
+        commanding: Commanding,
         keeping: Keeping,
         aimed: set[str],
     ) -> None:
@@ -49,7 +49,7 @@
         self._times = times
         self._clock = clock
         self._stations = stations
-        self._orders = orders
+        self._commanding = commanding
         self._keeping = keeping
         self._unseen_at: dict[str, float] = {}  # zone -> when it was last out of sight
 
@@ -64,7 +64,7 @@
         if not self._membership.is_member:
             return
         now = self._clock.now()
-        self._orders.drop_stale()
+        self._commanding.orders.drop_stale()
         report_s = self._times.report_s
         stations = list(self._stations.values())
         silent = {
@@ -85,7 +85,7 @@
                 continue  # given up while an earlier one was being written
             quiet = silent_s(station, now) > c.PROBE_REPORTS * report_s
             if quiet or station.unanswered_since is not None:
-                self._orders.probe(station)
+                self._commanding.probe(station)
             record = self._replica.machines.get(station.id)
             if record is not None and record.record.why == IDLE:
                 self._clear_out(station)
--- a/pulleydeal/workers/messages.py
+++ b/pulleydeal/workers/messages.py
@@ -6,6 +6,7 @@
 from msgspec import Meta, Struct
 
 from pulleydeal import constants as c
+from pulleydeal.decisions import Action
 
 Count = Annotated[int, Meta(ge=0)]
 Text = Annotated[str, Meta(min_length=1, max_length=200)]
@@ -28,6 +29,9 @@
 }
 
 
+ACTIONS = {"run": Action.START, "kill": Action.STOP, "clear": Action.CLEAR}
+
+
 class ReportedTask(Struct):
     task: Text = msgspec.field(name="lift")
     attempt: Count = msgspec.field(name="pull")
--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -2,36 +2,48 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
-from typing import Any
+from typing import Protocol
 
 from pulleydeal import constants as c
 from pulleydeal.background import Background
 from pulleydeal.clock import Clock
-from pulleydeal.http import MALFORMED, Client, NoAnswer
+from pulleydeal.http import MALFORMED, Client, NoAnswer, Withdrawn
 from pulleydeal.workers import messages as m
+from pulleydeal.workers.commands import Lapse, Order
 from pulleydeal.workers.incarnation import Known, known
-from pulleydeal.workers.station import Start, Station
+from pulleydeal.workers.station import Station, forget_kills
 
 log = logging.getLogger("pulleydeal.workers")
-Take = Callable[[Station, m.Report, Known | None], None]
+
+
+class OrderOwner(Protocol):
+    """The part of the node that decides about machines."""
+
+    def token(self, station: Station) -> int:
+        """With which the machine is commanded at this moment."""
+
+    def lapse(self, order: Order) -> Lapse | None:
+        """Why the order may not be sent any more; None: it may."""
+
+    def is_sent(self, order: Order, waited_s: float) -> None:
+        """Called as its first byte is about to be written."""
+
+    def withdrawn(self, order: Order, why: Lapse, waited_s: float) -> None:
+        """It was never sent, nor will be."""
+
+    def reported(self, station: Station, report: m.Report, before: Known | None) -> None:
+        """A report came back; `before`: what was known as it was asked for."""
+
+    def reachability_changed(self, machine: str) -> None:
+        """The machine begins or ceases to answer."""
 
 
 class Orders:
-    """`token`: with which a machine is commanded; `take`: is given the reports that come back, with
-    what was known when they were asked for."""
-
-    def __init__(
-        self,
-        clock: Clock,
-        token: Callable[[Station], int],
-        take: Take,
-        changed: Callable[[str], None],
-    ) -> None:
+    """At most one order to a machine at a time, and a bounded number to all."""
+
+    def __init__(self, clock: Clock, owner: OrderOwner) -> None:
         self._clock = clock
-        self._changed = changed  # called with a machine that begins or ceases to answer
-        self._token = token
-        self._take = take
+        self._owner = owner
         self._clients: dict[str, Client] = {}
         self._orders = asyncio.Semaphore(c.ORDERS_IN_FLIGHT)
         self._probes = asyncio.Semaphore(c.PROBES_IN_FLIGHT)
@@ -53,43 +65,88 @@
             client = self._clients[addr] = Client(addr, self._clock)
         return client
 
-    def probe(self, station: Station) -> None:
-        """Asks a machine whose reports stay out: silence alone may be a lost packet's."""
-        if station.addr and not station.busy:
-            self.give(station, [], [])
+    def give(self, order: Order) -> None:
+        order.station.busy = True
+        self._background.spawn(self._carry_out(order))
 
-    def give(self, station: Station, calls: list[dict[str, Any]], runs: list[Start]) -> None:
-        station.busy = True
-        self._background.spawn(self._order(station, calls, runs))
-
-    async def _order(
-        self, station: Station, calls: list[dict[str, Any]], runs: list[Start]
-    ) -> None:
+    async def _carry_out(self, order: Order) -> None:
         # Machines that don't answer are mostly probed: they must not hold up others' orders.
-        gate, patience = self._orders, c.ORDERS_TIMEOUT_S
-        if not calls:
-            gate, patience = self._probes, c.PROBE_TIMEOUT_S
+        slots = self._orders if order.calls else self._probes
+        try:
+            try:
+                # A probe starts nothing; it is only asked whether it is still of use.
+                async with asyncio.timeout(c.ORDER_QUEUE_MOST_S if order.calls else None):
+                    await slots.acquire()
+            except TimeoutError:
+                self._withdraw(order, Lapse.QUEUE)
+                return
+            try:
+                # Before a client for it is made: the address may be nobody's concern any more.
+                why = self._owner.lapse(order)
+                if why is None:
+                    await self._exchange(order)
+                else:
+                    self._withdraw(order, why)
+            finally:
+                slots.release()
+        finally:
+            order.station.busy = False
+
+    def _waited_s(self, order: Order) -> float:
+        return self._clock.now() - order.planned_at
+
+    async def _exchange(self, order: Order) -> None:
+        station = order.station
+        patience_s = c.ORDERS_TIMEOUT_S if order.calls else c.PROBE_TIMEOUT_S
+        body = m.orders(order.right.token, order.right.session, order.calls)
+        # What is known now: a machine that answers with less than that has begun anew.
+        before = known(station)
+        lapsed: list[Lapse] = []
+
+        def still_wanted() -> bool:
+            # The order waited, for its turn and for a connection. Whoever owns the machine by now
+            # may have asked it and concluded that the task never came up.
+            why = self._owner.lapse(order)
+            if why is not None:
+                lapsed.append(why)
+                return False
+            self._owner.is_sent(order, self._waited_s(order))
+            return True
+
         client = self._client(station.addr)
         try:
-            async with gate:
-                # What is known now: a machine that answers with less than that has begun anew.
-                before = known(station)
-                body = m.orders(self._token(station), station.session, calls)
-                status, reply = await client.request("POST", "/orders", body, patience)
+            status, reply = await client.request("POST", "/orders", body, patience_s, still_wanted)
+        except Withdrawn:
+            self._withdraw(order, lapsed[0])
+            return
         except NoAnswer as error:
-            log.debug("order to %s: %s", station.id, error)
-            station.mute_since = None
-            if station.unanswered_since is None:
-                station.unanswered_since = self._clock.now()
-                self._changed(station.id)
-            self._unsettle(station, runs, executed=error.sent)
+            self._unanswered(order, error)
             return
-        finally:
-            station.busy = False
+        self._answered(order, status, reply, before)
+
+    def _withdraw(self, order: Order, why: Lapse) -> None:
+        for start in order.runs:
+            order.station.sent.pop(start, None)
+        forget_kills(order.station, order.calls)
+        order.station.busy = False
+        self._owner.withdrawn(order, why, self._waited_s(order))
+
+    def _unanswered(self, order: Order, error: NoAnswer) -> None:
+        station = order.station
+        log.debug("order to %s: %s", station.id, error)
+        station.mute_since = None
+        if station.unanswered_since is None:
+            station.unanswered_since = self._clock.now()
+            self._owner.reachability_changed(station.id)
+        self._unsettle(order, executed=error.sent)
+
+    def _answered(self, order: Order, status: int, reply: bytes, before: Known | None) -> None:
+        station = order.station
+        station.busy = False
         if station.unanswered_since is not None:
             station.unanswered_since = None
-            self._changed(station.id)
-        for start in runs:
+            self._owner.reachability_changed(station.id)
+        for start in order.runs:
             if status == 200:
                 station.sent[start].direct = False
                 station.sent[start].settled = True
@@ -101,16 +158,17 @@
             except MALFORMED as error:
                 log.error("machine %s answers nonsense: %s", station.id, error)
                 return
-            self._take(station, report, before)
+            self._owner.reported(station, report, before)
 
-    def _unsettle(self, station: Station, runs: list[Start], executed: bool) -> None:
+    def _unsettle(self, order: Order, executed: bool) -> None:
         """An unanswered order may be executed much later: fence it before concluding."""
+        station = order.station
         if not executed:
-            for start in runs:
+            for start in order.runs:
                 station.sent.pop(start, None)
             return
-        if runs:
+        if order.runs:
             station.raise_fence()
-        for start in runs:
-            station.sent[start].fence = self._token(station)
+        for start in order.runs:
+            station.sent[start].fence = self._owner.token(station)
             station.sent[start].direct = False
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -12,26 +12,23 @@
 from pulleydeal import constants as c
 from pulleydeal.background import Background
 from pulleydeal.clock import Clock
+from pulleydeal.decisions import Action, Decision, DecisionLog
 from pulleydeal.http import MALFORMED, Request, Response, answer
 from pulleydeal.membership import view as views
 from pulleydeal.membership import vouching
 from pulleydeal.membership.service import Membership
 from pulleydeal.metrics import Metrics
 from pulleydeal.settings import WorkerTimes
-from pulleydeal.store.draft import Draft
-from pulleydeal.store.rate import Turn
-from pulleydeal.store.reasons import shown
 from pulleydeal.store.service import Store
 from pulleydeal.workers import incarnation, task_log
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.adopting import Adopting
-from pulleydeal.workers.changes import apply_exit
+from pulleydeal.workers.commanding import Commanding
+from pulleydeal.workers.ends import Ends
 from pulleydeal.workers.keeping import Keeping
-from pulleydeal.workers.orders import Orders
 from pulleydeal.workers.reachability import silent_s, unsignalled_s
 from pulleydeal.workers.station import (
     Entry,
-    Exit,
     Plan,
     Sent,
     Start,
@@ -75,8 +72,20 @@
         self._epoch = 0  # the last view by which machines were taken and given up
         self.stations = stations
         self._keeping = keeping
-        self.orders = Orders(clock, self.token, self._answer_of_order, lambda m: self.changed(m))
-        self._exits: set[Start] = set()
+        self._decisions = DecisionLog(membership, store, clock, metrics)
+        self.ends = Ends(membership, store, clock, metrics, self._decisions, stations, self._replan)
+        self.commanding = Commanding(
+            membership,
+            store.replica,
+            clock,
+            metrics,
+            self._decisions,
+            stations,
+            self.ends,
+            self._take_answer,
+            self._replan,
+            lambda machine: self.changed(machine),
+        )
         self._adopting = Adopting(store, clock)
         self._background = Background("a worker exchange failed")
         self._dirty: set[str] = set()
@@ -124,6 +133,9 @@
         now = self._clock.now()
         skipped = self._membership.epoch > self._epoch + 1
         self._epoch = self._membership.epoch
+        members = " ".join(sorted(self._membership.view.members))
+        is_member = self._membership.is_member
+        self._decisions.write(Decision(Action.LEAD, f"members {members}", allowed=is_member))
         with self._lock:
             if skipped:
                 # Machines may have been another's in a view that was never looked at here.
@@ -147,7 +159,7 @@
         station = self.stations.pop(machine, None)
         if station is not None:
             self._index(machine, station.entries, {})
-            self.orders.drop(station.addr)
+            self.commanding.orders.drop(station.addr)
             self.changed(machine)
 
     def _station(
@@ -172,9 +184,6 @@
         bound = self._replica.bound.get(machine, {})
         return {(job, index, task.attempt) for (job, index), task in bound.items()}
 
-    def token(self, station: Station) -> int:
-        return views.token(self._membership.epoch, station.fence)
-
     def silent(self, station: Station) -> bool:
         limit = c.SILENT_REPORTS * self._times.report_s
         return unsignalled_s(station, self._clock.now()) > limit
@@ -204,11 +213,11 @@
         station = self.stations.get(report.machine)
         if station is None:
             station = self._first_heard(report, fence=int(record is None))
-        if report.token > self.token(station):
+        if report.token > self.commanding.token(station):
             # Somebody newer commands this machine: our view is old, or will soon be.
             return answer(421, m.redirect(""))
         if incarnation.doubtful(station, report, self._clock.now()):
-            self.orders.probe(station)
+            self.commanding.probe(station)
             return self._commands(station, [])
         self._take(station, report, checkin=True)
         if record is None or record.record.state == "boot" or (record.record.addr != report.addr):
@@ -216,11 +225,12 @@
         plan = self._plan(station)
         for start in plan.runs:
             station.sent[start] = Sent(station.session, report.seq)
-            self._starts(station, start, "check-in")
+        right = self.commanding.right(station)
+        self.commanding.log(station, right, plan.calls, "answer to a check-in")
         return self._commands(station, plan.calls)
 
     def _commands(self, station: Station, calls: list[dict[str, Any]]) -> Response:
-        body = msgspec.json.encode(m.commands(self.token(station), calls))
+        body = msgspec.json.encode(m.commands(self.commanding.token(station), calls))
         return Response(200, body, written=lambda: self._answered(station))
 
     def _answered(self, station: Station) -> None:
@@ -288,6 +298,7 @@
                 now,
                 self._times.lease_s,
                 partial(self._keeping.alone, station),
+                self.ends.pending,
             )
             if station.busy:
                 # An order is under way, perhaps for seconds: nothing is started beside it, nor
@@ -296,46 +307,13 @@
                 plan.calls = [call for call in plan.calls if call["call"] == "kill"]
                 plan.runs = []
         for gone in plan.exits:
-            self._record_exit(station, gone)
+            self.ends.record(station, gone)
         return plan
 
-    def _record_exit(self, station: Station, gone: Exit) -> None:
-        start = (gone.job, gone.index, gone.attempt)
-        if start in self._exits:
-            return
-        self._exits.add(start)
-        if gone.outcome == "error":
-            station.errors.append((self._clock.now(), start))
-        log.info(
-            "task %s/%d attempt %d on %s ended: %s (%s)",
-            gone.job,
-            gone.index,
-            gone.attempt,
-            gone.machine,
-            gone.outcome,
-            shown(gone.detail),
-            extra={"job": gone.job, "task": gone.index, "machine": gone.machine},
-        )
-        self._metrics.stops.labels(gone.outcome).inc()
-        future = self._store.change_job(
-            gone.job, partial(self._prove, station, gone), turn=Turn.WORK
-        )
-        future.add_done_callback(lambda _: self._exits.discard(start))
-
-    def _prove(self, station: Station, gone: Exit, draft: Draft) -> None:
-        """Runs against the newest record and view, on which the commit is conditional.
-
-        Silence proves nothing once somebody else may have renewed the lease: a node that was
-        cut off and voted out concluded from it all the same, wrote it when it was back, and
-        tasks ran twice.
-        """
-        still_owner = self._membership.is_member and self.stations.get(station.id) is station
-        if still_owner or not gone.by_lease:
-            apply_exit(draft, gone)
-
-    def _starts(self, station: Station, start: Start, how: str) -> None:
-        self._metrics.starts.inc()
-        task_log.run(station, start, how, self._membership.epoch)
+    def _replan(self, machine: str) -> None:
+        """An end there was written or given up, or an order was not sent."""
+        self._touch(machine)
+        self._wake.set()
 
     # --- direct orders ----------------------------------------------------------------------
     async def work(self) -> None:
@@ -362,7 +340,7 @@
             return
         if not station.trusted:
             # After a takeover, also if an old report came: raise the token and get a new one.
-            self.orders.probe(station)
+            self.commanding.probe(station)
             return
         if not station.addr or silent_s(station, self._clock.now()) > self._times.lease_s:
             self._plan(station)
@@ -374,15 +352,14 @@
         ):
             for start in plan.runs:
                 station.sent[start] = Sent(station.session, 0, direct=True)
-                self._starts(station, start, "order")
-            self.orders.give(station, urgent, plan.runs)
+            self.commanding.give(station, urgent, plan.runs)
 
-    def _answer_of_order(
-        self, station: Station, report: m.Report, known: incarnation.Known | None
+    def _take_answer(
+        self, station: Station, report: m.Report, before: incarnation.Known | None
     ) -> None:
         if self.stations.get(station.id) is not station:
             return
-        if incarnation.begins_anew(known, report):
+        if incarnation.begins_anew(before, report):
             log.info("machine %s is back without its tasks", station.id)
             token = views.token(self._membership.epoch, station.fence + 1)
             new = incarnation.next_life(station, self._bound(station.id), token, self._clock.now())
@@ -392,4 +369,4 @@
             station = new
         self._take(station, report, checkin=False)
         if not station.trusted:
-            self.orders.probe(station)  # raises its token
+            self.commanding.probe(station)  # raises its token
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import Any, Literal
 
@@ -43,7 +43,9 @@
     machine: str
     outcome: str  # done, error, saved, stopped, lost, refused, ...
     detail: str
-    by_lease: bool = False  # concluded from silence: holds only for an unbroken owner
+    # Concluded from the task's absence: holds only for the owner that saw it, in that tenure. What
+    # the machine itself reported of an attempt holds for ever.
+    by_absence: bool = False
 
 
 @dataclass(slots=True)
@@ -191,10 +193,12 @@
     now: float,
     lease_s: float,
     alone: Callable[[], bool] = lambda: True,
+    ending: Collection[Start] = (),
 ) -> Plan:
     """Compares what is bound with what the machine reports.
 
-    `alone`: whether nobody else can have renewed the machine's lease.
+    `alone`: whether nobody else can have renewed the machine's lease. `ending`: attempts whose end
+    was concluded and is still being written.
     """
     plan = Plan()
     s.settled = False  # before trust and after a lease an empty plan says nothing of the next
@@ -203,12 +207,12 @@
             return plan
         for (job, index), want in wanted.items():
             why = "machine lost: its lease ran out"
-            plan.exits.append(Exit(job, index, want.task.attempt, s.id, "lost", why, True))
+            plan.exits.append(_absent((job, index, want.task.attempt), s, "lost", why))
         return plan
     if not s.trusted:
         return plan
     for (job, index), want in wanted.items():
-        _one(s, (job, index, want.task.attempt), want, now, plan)
+        _one(s, (job, index, want.task.attempt), want, now, plan, ending)
     for (job, index), entry in s.entries.items():
         bound = wanted.get((job, index))
         if bound is not None and bound.task.attempt == entry.attempt:
@@ -228,7 +232,9 @@
     return plan
 
 
-def _one(s: Station, start: Start, want: Wanted, now: float, plan: Plan) -> None:
+def _one(
+    s: Station, start: Start, want: Wanted, now: float, plan: Plan, ending: Collection[Start]
+) -> None:
     job, index, attempt = start
     entry = s.entries.get((job, index))
     if entry is not None and entry.attempt == attempt:
@@ -251,17 +257,25 @@
     if sent is not None or start in s.inherited or start in s.seen:
         # Absent from a report made after its run could last take effect: it is gone.
         why = "never came up" if start not in s.seen else "vanished: the machine lost its lease"
-        plan.exits.append(Exit(job, index, attempt, s.id, "lost", want.task.stop or why))
+        plan.exits.append(_absent(start, s, "lost", want.task.stop or why))
+    elif start in ending:
+        # Its end was concluded from its never having been sent, and waits for its turn to be
+        # written: sent now, it would run here while it is started elsewhere.
+        plan.repeats = True
     elif want.over or want.task.stop:
-        plan.exits.append(Exit(job, index, attempt, s.id, "stopped", want.task.stop or want.over))
+        plan.exits.append(_absent(start, s, "stopped", want.task.stop or want.over))
     elif s.unanswered_since is not None and now - s.unanswered_since > c.UNREACHED_S:
         # No command that carries this start was ever sent.
-        plan.exits.append(Exit(job, index, attempt, s.id, "lost", "its machine hears no order"))
+        plan.exits.append(_absent(start, s, "lost", "its machine hears no order"))
     else:
         plan.calls.append(m.run(*start))
         plan.runs.append(start)
 
 
+def _absent(start: Start, s: Station, outcome: str, detail: str) -> Exit:
+    return Exit(*start, s.id, outcome, detail, by_absence=True)
+
+
 def _outcome(entry: Entry) -> str:
     if entry.why in ("no room", "busy", "unknown"):
         return "refused"
@@ -282,6 +296,14 @@
     plan.calls.append(m.kill(*start, grace_s))
 
 
+def forget_kills(s: Station, calls: list[dict[str, Any]]) -> None:
+    """These were never sent: a kill among them is due at once, not after a pause."""
+    for call in calls:
+        if call["call"] == "kill":
+            start = (*m.split_task(call["lift"]), call["pull"])
+            s.killed_at.pop((start, call["ease_s"] > 0), None)
+
+
 Blame = Literal["job", "machine", "open"]  # who is to blame for a failure, as far as is known
 
 
--- a/pulleydeal/workers/task_log.py
+++ b/pulleydeal/workers/task_log.py
@@ -1,8 +1,8 @@
-"""The log lines by which a task can be followed."""
+"""Log lines of what machines report of their tasks; decisions: pulleydeal/decisions.py."""
 
 import logging
 
-from pulleydeal.workers.station import Entry, Start, Station, TaskId
+from pulleydeal.workers.station import Entry, Station, TaskId
 
 log = logging.getLogger("pulleydeal.workers")
 
@@ -19,14 +19,3 @@
                 entry.state,
                 extra={"job": task_id[0], "task": task_id[1], "machine": station.id},
             )
-
-
-def run(station: Station, start: Start, how: str, epoch: int) -> None:
-    log.info(
-        "run %s/%d attempt %d on %s by %s, epoch %d",
-        *start,
-        station.id,
-        how,
-        epoch,
-        extra={"job": start[0], "task": start[1], "machine": station.id, "epoch": epoch},
-    )
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -11,6 +11,7 @@
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Replica
+from pulleydeal.workers.commands import CommandRight, Order
 from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.service import Workers
 from pulleydeal.workers.station import Blame, Sent, Station, is_sick
@@ -22,7 +23,9 @@
     epoch = 3
     is_member = True
     me = "winch-0"
+    incarnation = "1"
     current_at = 0.0
+    view = r.View(3, {"winch-0": "1"})
 
     def __init__(self) -> None:
         self.replica = Replica()
@@ -182,7 +185,7 @@
     slice_ = workers(world)
     world.put(r.machine_key("vm-1"), machine("up"))
     asked: list[str] = []
-    slice_.orders.probe = lambda station: asked.append(station.id)  # type: ignore[method-assign]
+    slice_.commanding.probe = lambda station: asked.append(station.id)  # type: ignore[method-assign]
 
     async def ask() -> None:
         await slice_.checkin(report("vm-1", 40, "j-1/0", token=2 << 24))
@@ -200,7 +203,7 @@
     world.put(r.machine_key("vm-1"), machine("up"))
     world.put(r.job_key("j-1"), r.JobRecord("open", 1, 0.0, spec))
     given_up: list[Any] = []
-    slice_._record_exit = lambda _, gone: given_up.append(gone.detail)  # type: ignore[method-assign]
+    slice_.ends.record = lambda _, gone: given_up.append(gone.detail)  # type: ignore[method-assign]
 
     async def ask() -> list[list[Any]]:
         await slice_.checkin(report("vm-1", 1))
@@ -208,7 +211,8 @@
         station = slice_.stations["vm-1"]
         start = ("j-1", 0, 1)
         station.sent[start] = Sent(1, 0, direct=True)
-        slice_.orders._unsettle(station, [start], executed=True)
+        right = CommandRight(3, 3 << 24, 1)
+        slice_.commanding.orders._unsettle(Order(station, right, [], [start], 1.0), executed=True)
         seen = []
         for tally, token in ((2, 3 << 24), (3, (3 << 24) + 1)):
             await slice_.checkin(report("vm-1", tally, token=token))
