--- a/pulleydeal/decisions.py
+++ b/pulleydeal/decisions.py
@@ -56,13 +56,20 @@
         self._membership = membership
         self._store = store
         self._clock = clock
-        self._metrics = metrics
+        # Found once each: looking a counter up by its labels costs more than counting.
+        self._counters = {
+            (action, allowed): metrics.decisions.labels(action.value, verdict)
+            for action in Action
+            for allowed, verdict in ((True, "allowed"), (False, "refused"))
+        }
 
     def write(self, decision: Decision, level: int = logging.INFO) -> None:
+        self._counters[decision.action, decision.allowed].inc()
+        if log.isEnabledFor(level):
+            self._log(decision, level)
+
+    def _log(self, decision: Decision, level: int) -> None:
         verdict = "allowed" if decision.allowed else "refused"
-        self._metrics.decisions.labels(decision.action.value, verdict).inc()
-        if not log.isEnabledFor(level):
-            return
         job, _, _ = decision.task.partition("/")
         membership, store = self._membership, self._store
         log.log(
