--- a/experiments/first_meeting.py
+++ b/experiments/first_meeting.py
@@ -13,6 +13,9 @@
 import sys
 from pathlib import Path
 
+from pulleydeal import timeline
+
+CONFIRMED = "200 cancelled"  # an answer that confirms a cancellation
 TARGET = Path("target/sites")
 LONG = "run_s = { median = 2000.0, p95 = 2500.0, max = 3000.0 }"
 BRIEF = "run_s = { median = 60.0, p95 = 150.0, max = 200.0 }"  # services: until their users cancel
@@ -54,13 +57,15 @@
     worst = 0.0
     for line in lines:
         at, _, text = line.strip().partition(" ")
-        if found := re.search(r"job (j-\d+): its user hears cancelled", text):
+        entry = timeline.parse(text)
+        if entry is None:
+            continue
+        job = entry.task.partition("/")[0]
+        if entry.action == "answer" and entry.why == CONFIRMED:
             if from_s <= float(at) < to_s:
-                told.setdefault(found[1], float(at))
-        elif (found := re.search(r"task (j-\d+)/\d+ attempt \d+ on \S+ ended", text)) and (
-            found[1] in told
-        ):
-            worst = max(worst, float(at) - told[found[1]])
+                told.setdefault(job, float(at))
+        elif entry.action == "end" and job in told:
+            worst = max(worst, float(at) - told[job])
     return {"confirmed": len(told), "last task seen gone after s": round(worst, 1)}
 
 
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -167,9 +167,14 @@
     assert "rate = 1.0000" in found and "median = 60.0" in found and "median = 2000.0" in found
     assert "cancelled = 0.7" in found and "initial = 4" in found
     log = [
-        "  10.0 winch-0 INFO x: job j-1: its user hears cancelled",
-        "  12.5 winch-0 INFO x: task j-1/0 attempt 1 on vm-1 ended: stopped (cancelled)",
-        "  30.0 winch-0 INFO x: job j-2: its user hears cancelled",
+        f"  {at} winch-0 INFO x: decision {action} allowed task={task} attempt=1 machine=vm-1 "
+        f"node=winch-0 at={at} why={why}"
+        for at, action, task, why in (
+            (10.0, "answer", "j-1", "200 cancelled"),
+            (11.0, "answer", "j-3", "200 running"),
+            (12.5, "end", "j-1/0", "stopped: cancelled"),
+            (30.0, "answer", "j-2", "200 cancelled"),
+        )
     ]
     assert first_meeting.counts(log, 5.0, 20.0) == {
         "confirmed": 1,
