--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -16,6 +16,14 @@
 log = logging.getLogger("pulleydeal.workers")
 
 
+class _Lapsed(Exception):
+    """The order was not sent, nor will be."""
+
+    def __init__(self, why: Lapse) -> None:
+        super().__init__(why.value)
+        self.why = why
+
+
 class OrderOwner(Protocol):
     """The part of the node that decides about machines."""
 
@@ -70,32 +78,42 @@
         self._background.spawn(self._carry_out(order))
 
     async def _carry_out(self, order: Order) -> None:
+        try:
+            status, reply, before = await self._in_its_turn(order)
+        except _Lapsed as lapsed:
+            self._withdraw(order, lapsed.why)
+            return
+        except NoAnswer as error:
+            self._unanswered(order, error)
+            return
+        finally:
+            # Before the answer is taken in, which may give the machine its next order.
+            order.station.busy = False
+        self._answered(order, status, reply, before)
+
+    async def _in_its_turn(self, order: Order) -> tuple[int, bytes, Known | None]:
+        """Status and body of the answer, and what was known before. Raises _Lapsed, NoAnswer."""
         # Machines that don't answer are mostly probed: they must not hold up others' orders.
         slots = self._orders if order.calls else self._probes
         try:
-            try:
-                # A probe starts nothing; it is only asked whether it is still of use.
-                async with asyncio.timeout(c.ORDER_QUEUE_MOST_S if order.calls else None):
-                    await slots.acquire()
-            except TimeoutError:
-                self._withdraw(order, Lapse.QUEUE)
-                return
-            try:
-                # Before a client for it is made: the address may be nobody's concern any more.
-                why = self._owner.lapse(order)
-                if why is None:
-                    await self._exchange(order)
-                else:
-                    self._withdraw(order, why)
-            finally:
-                slots.release()
+            # A probe starts nothing; it is only asked whether it is still of use.
+            async with asyncio.timeout(c.ORDER_QUEUE_MOST_S if order.calls else None):
+                await slots.acquire()
+        except TimeoutError:
+            raise _Lapsed(Lapse.QUEUE) from None
+        try:
+            # Before a client for it is made: the address may be nobody's concern any more.
+            why = self._owner.lapse(order)
+            if why is not None:
+                raise _Lapsed(why)
+            return await self._exchange(order)
         finally:
-            order.station.busy = False
+            slots.release()
 
     def _waited_s(self, order: Order) -> float:
         return self._clock.now() - order.planned_at
 
-    async def _exchange(self, order: Order) -> None:
+    async def _exchange(self, order: Order) -> tuple[int, bytes, Known | None]:
         station = order.station
         patience_s = c.ORDERS_TIMEOUT_S if order.calls else c.PROBE_TIMEOUT_S
         body = m.orders(order.right.token, order.right.session, order.calls)
@@ -117,18 +135,13 @@
         try:
             status, reply = await client.request("POST", "/orders", body, patience_s, still_wanted)
         except Withdrawn:
-            self._withdraw(order, lapsed[0])
-            return
-        except NoAnswer as error:
-            self._unanswered(order, error)
-            return
-        self._answered(order, status, reply, before)
+            raise _Lapsed(lapsed[0]) from None
+        return status, reply, before
 
     def _withdraw(self, order: Order, why: Lapse) -> None:
         for start in order.runs:
             order.station.sent.pop(start, None)
         forget_kills(order.station, order.calls)
-        order.station.busy = False
         self._owner.withdrawn(order, why, self._waited_s(order))
 
     def _unanswered(self, order: Order, error: NoAnswer) -> None:
@@ -142,7 +155,6 @@
 
     def _answered(self, order: Order, status: int, reply: bytes, before: Known | None) -> None:
         station = order.station
-        station.busy = False
         if station.unanswered_since is not None:
             station.unanswered_since = None
             self._owner.reachability_changed(station.id)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from pulleydeal import constants as c
@@ -165,6 +166,35 @@
     assert withdrawn._value.get() == 1
 
 
+class Untrusted(Machine):
+    """Refuses orders; its token is below that of the takeover."""
+
+    def __init__(self) -> None:
+        super().__init__(delay_s=0.15)
+        self.at_once = self.most_at_once = 0
+
+    async def handle(self, request: Request) -> Response:
+        self.at_once += 1
+        self.most_at_once = max(self.most_at_once, self.at_once)
+        await super().handle(request)
+        self.at_once -= 1
+        return answer(409, msgspec.json.decode(report("vm-1", 2).body))
+
+
+def test_a_machine_that_is_asked_again_by_an_answer_has_one_order_at_a_time() -> None:
+    target = Untrusted()
+    busy: list[bool] = []
+
+    def asked_again(slice_: Any) -> None:
+        owned = slice_.stations["vm-1"]
+        owned.floor = 4 << 24
+        busy.append(owned.busy)
+        slice_._look(owned)
+
+    play_order(lambda slice_, owned, _: setattr(owned, "floor", 4 << 24), target, last=asked_again)
+    assert busy == [True] and target.most_at_once == 1
+
+
 # --- the decision log ---------------------------------------------------------------------------
 def test_each_start_and_end_is_one_line_with_the_token_as_sent(
     caplog: pytest.LogCaptureFixture,
