--- a/tests/test_pending_end.py
+++ b/tests/test_pending_end.py
@@ -13,6 +13,9 @@
 
 from pulleydeal import constants as c
 from pulleydeal.store import records as r
+from pulleydeal.store.draft import Draft
+from pulleydeal.store.limits import Limits
+from pulleydeal.workers.station import Station
 from tests.test_workers import Alone, machine, report, workers
 
 
@@ -41,22 +44,50 @@
     world.put(r.chunk_key("j-1", 0), [r.Task("vm-1", 1)])
 
 
+async def concluded(world: SlowStore) -> Any:
+    """The workers' slice of an owner that concluded that a start was never sent."""
+    slice_ = workers(world)
+    world.put(r.machine_key("vm-1"), machine("up"))
+    await slice_.checkin(report("vm-1", 1))
+    bound_job(world)
+    slice_.stations["vm-1"].unanswered_since = world.clock_s
+    world.clock_s += c.UNREACHED_S + 0.5
+    await slice_.checkin(report("vm-1", 2))
+    return slice_
+
+
+def written(world: SlowStore) -> str:
+    """On which machine the task is bound once the queued end was written."""
+    draft = Draft(world.replica.jobs["j-1"], world.replica, Limits(2_000, 8), world.clock_s)
+    for mutate, _ in world.queued:
+        mutate(draft)
+    return draft.task(0).machine
+
+
+def test_an_end_by_absence_is_written_only_by_the_tenure_that_saw_it() -> None:
+    """Whoever owns the machine after that, even the same node, may have commanded it."""
+
+    async def day(another_tenure: bool) -> str:
+        world = SlowStore()
+        slice_ = await concluded(world)
+        if another_tenure:
+            slice_.stations["vm-1"] = Station("vm-1", "t4", "east", False, 1.0, 0, set())
+        return written(world)
+
+    assert asyncio.run(day(another_tenure=False)) == ""
+    assert asyncio.run(day(another_tenure=True)) == "vm-1"
+
+
 def test_a_start_whose_end_waits_to_be_written_is_not_sent() -> None:
     async def day() -> tuple[int, list[bytes]]:
         world = SlowStore()
-        slice_ = workers(world)
-        world.put(r.machine_key("vm-1"), machine("up"))
-        await slice_.checkin(report("vm-1", 1))
-        station = slice_.stations["vm-1"]
-        bound_job(world)
         # Orders to it got no connection for longer than allowed: the start was never sent.
-        station.unanswered_since = world.clock_s
-        world.clock_s += c.UNREACHED_S + 0.5
-        first = await slice_.checkin(report("vm-1", 2))
+        slice_ = await concluded(world)
+        first = await slice_.checkin(report("vm-1", 3))
         # It answers again before the end of the attempt is written.
-        station.unanswered_since = None
+        slice_.stations["vm-1"].unanswered_since = None
         world.clock_s += 0.5
-        second = await slice_.checkin(report("vm-1", 3))
+        second = await slice_.checkin(report("vm-1", 4))
         return len(world.queued), [first.body, second.body]
 
     ends, answers = asyncio.run(day())
