--- a/pulleydeal/fleet/cloud.py
+++ b/pulleydeal/fleet/cloud.py
@@ -25,6 +25,9 @@
     """None of this kind to be had now."""
 
 
+# PROTOCOL: malformed, too many requests, an outage; what is answered so was not executed.
+NOT_EXECUTED = (400, 429, 503)
+
 T = TypeVar("T")
 
 
@@ -50,7 +53,8 @@
         if status == 503 and b"capacity" in reply:
             raise NoCapacity
         if status != 200:
-            raise CloudTrouble(f"{method} {path}: {status} {reply[:100]!r}", False)
+            executed = status not in NOT_EXECUTED
+            raise CloudTrouble(f"{method} {path}: {status} {reply[:100]!r}", executed)
         return reply
 
     async def catalog(self) -> list[MachineType]:
--- a/pulleydeal/metrics.py
+++ b/pulleydeal/metrics.py
@@ -78,6 +78,12 @@
             ["why"],
             registry=registry,
         )
+        self.orders_finished = Counter(
+            "pulleydeal_orders_finished",
+            "Direct orders and probes that were tried, by what is known of their commands",
+            ["outcome"],
+            registry=registry,
+        )
         self.order_wait = Histogram(
             "pulleydeal_order_wait_seconds",
             "From the plan of a direct order to its first byte",
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -19,11 +19,11 @@
 
 
 class Unavailable(Exception):
-    """429, 503 or another refusal: the request was not executed."""
+    """429 or 503: the request was not executed. Of a read, any other trouble too."""
 
 
 class Unknown(Exception):
-    """No answer: the request may have been executed, or may yet be."""
+    """No answer, or none that is understood: the request may have been executed, or may yet be."""
 
 
 class Refused(Exception):
@@ -38,9 +38,21 @@
     """The watch can't continue from there; everything must be read again."""
 
 
+NOT_EXECUTED = (429, 503)  # PROTOCOL: a request that is answered so was not executed
+
 T = TypeVar("T")
 
 
+def _refusal(request: str, status: int) -> Unavailable | Unknown:
+    """Why a request that changes something failed, by a status that names no other reason.
+
+    Any 5xx counted as "not executed": what an intermediary answers 502 to was written all the same,
+    and was taken for never written (docs/incidents/answers-not-understood.md).
+    """
+    reason = f"{request}: {status}"
+    return Unavailable(reason) if status in NOT_EXECUTED else Unknown(reason)
+
+
 def _understood(decoder: Decoder[T], reply: bytes) -> T:
     """An answer that makes no sense tells nothing: it counts as none."""
     try:
@@ -103,7 +115,7 @@
                 raise Unavailable(f"{method} {path}: 429")
         elif status >= 500:
             self.refusals += 1
-            raise Unavailable(f"{method} {path}: {status}")
+            raise _refusal(f"{method} {path}", status)
         elif not path.startswith("/watch"):
             self.served_at = max(self.served_at, sent_at)
         return status, reply
@@ -174,7 +186,7 @@
         if status == 400:
             sizes = {str(x.get("set", x.get("drop"))): len(x.get("data", b"")) for x in changes}
             raise Refused(f"POST /commit: 400 {reply[:200]!r}, bytes by key: {sizes}")
-        raise Unavailable(f"POST /commit: {status} {reply[:200]!r}")
+        raise _refusal("POST /commit", status)
 
     def _note_refused_write(self) -> None:
         """The announced lower rate comes without notice; refusals close together are the sign."""
@@ -193,7 +205,7 @@
     async def grant(self, ttl_ms: int) -> int:
         status, reply = await self._call("POST", "/holds", {"ttl_ms": ttl_ms})
         if status != 200:
-            raise Unavailable(f"POST /holds: {status}")
+            raise _refusal("POST /holds", status)
         return _understood(m.GRANTED, reply).lease
 
     async def renew(self, lease: int) -> None:
@@ -201,4 +213,4 @@
         if status == 404:
             raise LeaseLost
         if status != 200:
-            raise Unavailable(f"renew: {status}")
+            raise _refusal("renewal", status)
--- a/pulleydeal/workers/commanding.py
+++ b/pulleydeal/workers/commanding.py
@@ -1,5 +1,6 @@
 """Gives commands to owned machines: takes the right to each, checks it again, and logs both."""
 
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -14,8 +15,11 @@
 from pulleydeal.workers.ends import Ends
 from pulleydeal.workers.incarnation import Known
 from pulleydeal.workers.orders import Orders
+from pulleydeal.workers.outcomes import OrderResult, Outcome
 from pulleydeal.workers.station import Start, Station
 
+log = logging.getLogger("pulleydeal.workers")
+
 Calls = list[dict[str, Any]]
 TakeReport = Callable[[Station, m.Report, Known | None], None]
 
@@ -107,6 +111,21 @@
         self._metrics.order_wait.observe(waited_s)
         self.log(order.station, order.right, order.calls, "order", waited_s)
 
+    def finished(self, order: Order, result: OrderResult) -> None:
+        self._metrics.orders_finished.labels(result.outcome.value).inc()
+        machine = order.station.id
+        if result.outcome is not Outcome.NOT_UNDERSTOOD:
+            if result.reason:
+                log.debug("order to %s: %s", machine, result.reason)
+            return
+        count = order.station.wrong_answers[result.reason] + 1
+        order.station.wrong_answers[result.reason] = count
+        # One that answers so for ever is asked each second: told at 1, 10, 100 and so on.
+        if str(count).strip("0") == "1":
+            log.error(
+                "machine %s answers orders wrongly: %s (%d times)", machine, result.reason, count
+            )
+
     def withdrawn(self, order: Order, why: Lapse, waited_s: float) -> None:
         self._metrics.orders_withdrawn.labels(why.value).inc()
         self.log(order.station, order.right, order.calls, why.value, waited_s, allowed=False)
--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -1,20 +1,18 @@
 """Sends commands straight to machines, and says what may still come of an unanswered one."""
 
 import asyncio
-import logging
 from typing import Protocol
 
 from pulleydeal import constants as c
 from pulleydeal.background import Background
 from pulleydeal.clock import Clock
-from pulleydeal.http import MALFORMED, Client, NoAnswer, Withdrawn
+from pulleydeal.http import Client, NoAnswer, Withdrawn
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.commands import Lapse, Order
 from pulleydeal.workers.incarnation import Known, known
+from pulleydeal.workers.outcomes import OrderResult, Outcome, read_answer
 from pulleydeal.workers.station import Station, forget_kills
 
-log = logging.getLogger("pulleydeal.workers")
-
 
 class _Lapsed(Exception):
     """The order was not sent, nor will be."""
@@ -39,6 +37,9 @@
     def withdrawn(self, order: Order, why: Lapse, waited_s: float) -> None:
         """It was never sent, nor will be."""
 
+    def finished(self, order: Order, result: OrderResult) -> None:
+        """It was sent; called before anything is concluded from the result."""
+
     def reported(self, station: Station, report: m.Report, before: Known | None) -> None:
         """A report came back; `before`: what was known as it was asked for."""
 
@@ -79,20 +80,20 @@
 
     async def _carry_out(self, order: Order) -> None:
         try:
-            status, reply, before = await self._in_its_turn(order)
+            result, before = await self._in_its_turn(order)
         except _Lapsed as lapsed:
             self._withdraw(order, lapsed.why)
             return
-        except NoAnswer as error:
-            self._unanswered(order, error)
-            return
         finally:
             # Before the answer is taken in, which may give the machine its next order.
             order.station.busy = False
-        self._answered(order, status, reply, before)
+        self._owner.finished(order, result)
+        self._conclude(order, result)
+        if result.report is not None:
+            self._owner.reported(order.station, result.report, before)
 
-    async def _in_its_turn(self, order: Order) -> tuple[int, bytes, Known | None]:
-        """Status and body of the answer, and what was known before. Raises _Lapsed, NoAnswer."""
+    async def _in_its_turn(self, order: Order) -> tuple[OrderResult, Known | None]:
+        """What came of the order, and what was known before it. Raises _Lapsed."""
         # Machines that don't answer are mostly probed: they must not hold up others' orders.
         slots = self._orders if order.calls else self._probes
         try:
@@ -113,7 +114,7 @@
     def _waited_s(self, order: Order) -> float:
         return self._clock.now() - order.planned_at
 
-    async def _exchange(self, order: Order) -> tuple[int, bytes, Known | None]:
+    async def _exchange(self, order: Order) -> tuple[OrderResult, Known | None]:
         station = order.station
         patience_s = c.ORDERS_TIMEOUT_S if order.calls else c.PROBE_TIMEOUT_S
         body = m.orders(order.right.token, order.right.session, order.calls)
@@ -136,7 +137,10 @@
             status, reply = await client.request("POST", "/orders", body, patience_s, still_wanted)
         except Withdrawn:
             raise _Lapsed(lapsed[0]) from None
-        return status, reply, before
+        except NoAnswer as error:
+            outcome = Outcome.UNANSWERED if error.sent else Outcome.NOT_SENT
+            return OrderResult(outcome, reason=str(error)), before
+        return read_answer(order, status, reply), before
 
     def _withdraw(self, order: Order, why: Lapse) -> None:
         for start in order.runs:
@@ -144,36 +148,31 @@
         forget_kills(order.station, order.calls)
         self._owner.withdrawn(order, why, self._waited_s(order))
 
-    def _unanswered(self, order: Order, error: NoAnswer) -> None:
-        station = order.station
-        log.debug("order to %s: %s", station.id, error)
-        station.mute_since = None
-        if station.unanswered_since is None:
-            station.unanswered_since = self._clock.now()
-            self._owner.reachability_changed(station.id)
-        self._unsettle(order, executed=error.sent)
-
-    def _answered(self, order: Order, status: int, reply: bytes, before: Known | None) -> None:
-        station = order.station
-        if station.unanswered_since is not None:
-            station.unanswered_since = None
-            self._owner.reachability_changed(station.id)
-        for start in order.runs:
-            if status == 200:
-                station.sent[start].direct = False
-                station.sent[start].settled = True
-            else:
-                station.sent.pop(start, None)
-        if status in (200, 409):
-            try:
-                report = m.REPORT.decode(reply)
-            except MALFORMED as error:
-                log.error("machine %s answers nonsense: %s", station.id, error)
-                return
-            self._owner.reported(station, report, before)
+    def _conclude(self, order: Order, result: OrderResult) -> None:
+        """What the result says of the machine, and of the starts that the order carried."""
+        self._note_reachable(order.station, result.is_understood)
+        if result.report is None:
+            order.station.mute_since = None
+        match result.outcome:
+            case Outcome.EXECUTED:
+                for start in order.runs:
+                    order.station.sent[start].direct = False
+                    order.station.sent[start].settled = True
+            case Outcome.REFUSED | Outcome.NOT_SENT:
+                self._unsettle(order, executed=False)
+            case Outcome.UNANSWERED | Outcome.NOT_UNDERSTOOD:
+                self._unsettle(order, executed=True)
+
+    def _note_reachable(self, station: Station, understood: bool) -> None:
+        """A machine whose answers are not understood is of no more use than one that gives none."""
+        if understood == (station.unanswered_since is None):
+            return
+        station.unanswered_since = None if understood else self._clock.now()
+        self._owner.reachability_changed(station.id)
 
     def _unsettle(self, order: Order, executed: bool) -> None:
-        """An unanswered order may be executed much later: fence it before concluding."""
+        """`executed`: the starts may have been, or may be much later. Nothing is concluded of them
+        then until a report shows a token with which the order would be refused."""
         station = order.station
         if not executed:
             for start in order.runs:
