--- a/pulleydeal/credits/asks.py
+++ b/pulleydeal/credits/asks.py
@@ -1,6 +1,7 @@
 """What a leader asks an owner for: a task's need, its turn, and where it may run."""
 
 from pulleydeal.credits.messages import Ask, Need
+from pulleydeal.rules import Turn
 from pulleydeal.store import records as r
 
 
@@ -13,7 +14,7 @@
     index: int,
     epoch: int,
     guaranteed: bool,
-    turn: tuple[int, float, float],
+    turn: Turn,
     zones: list[str],
     avoid: list[str],
 ) -> Ask:
--- a/pulleydeal/placement/pending.py
+++ b/pulleydeal/placement/pending.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from pulleydeal.store.job import Job
+
 TaskId = tuple[str, int]
 
 
@@ -20,6 +22,11 @@
     until: float = 0.0
     writing: bool = False
 
+    @property
+    def has_room(self) -> bool:
+        """Nothing is asked for it any more: it is bound soon, or the room is given up."""
+        return bool(self.machine) or self.writing
+
 
 class PendingAsks:
     """All of them; a look at one job's costs what that job has, not what all jobs have."""
@@ -41,11 +48,15 @@
         others were made, so a large array that had given way never started another task.
         """
         return [
-            index
-            for index, p in self.of(job).items()
-            if index not in wanted and not p.machine and not p.writing
+            index for index, p in self.of(job).items() if index not in wanted and not p.has_room
         ]
 
+    def with_room(self, job: Job) -> int:
+        """How many of its tasks that are not bound yet have room."""
+        return sum(
+            p.has_room and index not in job.on_machines for index, p in self.of(job.id).items()
+        )
+
     def jobs(self) -> list[str]:
         return list(self._by_job)
 
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -62,7 +62,7 @@
         self._gang_zone: dict[str, tuple[str, float]] = {}
         self._served_at: dict[str, float] = {}  # job -> when a task of it last had credit
         self._reasons: dict[str, str] = {}
-        self._turns: dict[str, tuple[int, float, float]] = {}  # of the jobs that wait
+        self._turns: dict[str, rules.Turn] = {}  # of the jobs that wait
         self._cleaning = Cleaning(membership, store)
         self._bindings = Bindings(membership, store.replica, self._pending, teams, zones)
         self._inside: set[str] = set()  # jobs within their team's guarantee
@@ -225,6 +225,7 @@
             for stray in self._pending.strays(job.id, set(wanted)):
                 self._drop((job.id, stray), tell=True)
         open_asks = len(self._pending.of(job.id))
+        ahead = job.bound + self._pending.with_room(job)
         for index in wanted:
             key = (job.id, index)
             pending = self._pending.of(job.id).get(index)
@@ -241,8 +242,11 @@
                 usage[spec.team] = after
                 open_asks += 1
             self._reasons.setdefault(job.id, "credit")
+            if pending is not None and pending.has_room:
+                continue
             if pending is None or now >= pending.look_at:
-                self._ask(job, key, pending, guaranteed, parts, now)
+                self._ask(job, key, pending, guaranteed, ahead, parts, now)
+            ahead += 1
         if spec.kind == "gang":
             self._try_gang(job, now)
 
@@ -263,13 +267,13 @@
         key: TaskId,
         pending: Pending | None,
         guaranteed: bool,
+        ahead: int,
         parts: Parts,
         now: float,
     ) -> None:
+        """`ahead`: tasks of its job that run, have room, or are asked for before this one."""
         spec = job.spec
         assert spec is not None
-        if pending is not None and (pending.machine or pending.writing):
-            return
         zones = self._zones_for(job, key, parts, now)
         part = parts.choose(spec, key[1], zones, pending)
         if not part:
@@ -285,7 +289,7 @@
         if now - pending.asked_at >= c.ASK_REPEAT_S:
             pending.asked_at = now
             avoid = self._failures.avoided(job.id, now)
-            turn = self._turns[job.id]
+            turn = rules.task_turn(spec, self._turns[job.id], ahead)
             ask = ask_for(spec, key[1], self._membership.epoch, guaranteed, turn, zones, avoid)
             self._siblings.send(part, ASK, pack_ask(ask))
 
--- a/pulleydeal/rules.py
+++ b/pulleydeal/rules.py
@@ -116,6 +116,22 @@
     return missed, 0.0 if spec.kind == "gang" else left
 
 
+Turn = tuple[int, float, float]  # aims missed, work, time of day; smaller goes first
+
+
+def task_turn(spec: r.JobSpec, turn: Turn, ahead: int) -> Turn:
+    """The turn of one waiting task, `ahead`: of how many of its job's there will be before it.
+
+    The copies of a service that wait at once are not equal: of forty services each has its first
+    before one has its second. With one turn for all of them, whoever was accepted first had six
+    copies, and others none for seconds (docs/incidents/services-without-a-copy.md).
+    """
+    if spec.kind != "service":
+        return turn
+    missed, _, at = turn
+    return missed, ahead / spec.tasks, at
+
+
 def can_lose(job: Job, objectives: list[Objective], wall: float) -> bool:
     """Whether a stopped task would make its job miss an aim that it can still meet."""
     spec, record = job.spec, job.record
--- a/tests/test_first_wave.py
+++ b/tests/test_first_wave.py
@@ -31,7 +31,7 @@
 
 
 def first_wave(tmp_path: Path, seed: int) -> Scenario:
-    """The scenario up to and with its first `expect`, whose users are answered by a second later."""
+    """The scenario up to its first `expect`, whose users are answered by a second later."""
     lines = WHOLE.read_text().splitlines()
     last = next(i for i, line in enumerate(lines) if " expect " in line)
     path = tmp_path / "first_wave.txt"
--- a/tests/test_waiting_turns.py
+++ b/tests/test_waiting_turns.py
@@ -4,7 +4,10 @@
 
 from pulleydeal import constants as c
 from pulleydeal import rules
+from pulleydeal.credits.asks import ask_for
+from pulleydeal.credits.queue import Waiting, order
 from pulleydeal.placement.failures import Failures
+from pulleydeal.placement.pending import Pending, PendingAsks
 from pulleydeal.settings import Objective
 from pulleydeal.store import records as r
 from pulleydeal.store.job import Job
@@ -50,3 +53,45 @@
     assert turn(300.0, on_machines={0: r.Task("vm-1", 1)}) == (1, 39 * 300.0)
     assert turn(300.0, last_stop="m") == (1, 40 * 300.0)  # it had begun, and gave way
     assert rules.turn(Job("j-1", 1, r.JobRecord("open", 40, 0.0, spec), spec), [], 300.0)[1] > small
+
+
+def asks_of(job: str, copies: int, running: int, at: float) -> list[Waiting]:
+    """As one leader sends them in one round."""
+    spec = r.JobSpec(job, "c", "core", "service", 3, copies, 1.0, 1.0, 1.0, "img", 1.0)
+    turn = (0, running / copies, at)
+    return [
+        Waiting(
+            ask_for(spec, index, 3, False, rules.task_turn(spec, turn, index), ["east"], []),
+            "winch-0",
+            1.0,
+            9.0,
+            0.0,
+        )
+        for index in range(running, copies)
+    ]
+
+
+def test_services_that_wait_at_once_each_have_a_copy_before_one_has_its_second() -> None:
+    waiting = [*asks_of("j-1", 6, 0, 1.0), *asks_of("j-2", 6, 0, 2.0), *asks_of("j-3", 3, 1, 0.5)]
+    served = [(w.ask.job, w.ask.index) for w in sorted(waiting, key=order)]
+    # j-3 has a third of its copies: it comes once the others have two of their six.
+    assert served[:5] == [("j-1", 0), ("j-2", 0), ("j-1", 1), ("j-2", 1), ("j-3", 1)]
+
+
+def test_the_turn_of_an_arrays_task_is_its_jobs() -> None:
+    spec = r.JobSpec("j-1", "c", "core", "array", 1, 6, 1.0, 1.0, 1.0, "img", 1.0)
+    assert rules.task_turn(spec, (1, 30.0, 2.0), 4) == (1, 30.0, 2.0)
+
+
+def test_tasks_that_have_room_or_are_being_bound_count_as_there() -> None:
+    asks = PendingAsks()
+    for index in range(4):
+        asks.put(("j-1", index), Pending("winch-0", 1.0, 1.0, ["east"]))
+    asks.of("j-1")[1].machine = "vm-1"
+    asks.of("j-1")[2].machine = "vm-2"
+    asks.write(("j-1", 2))
+    spec = r.JobSpec("j-1", "c", "core", "service", 3, 4, 1.0, 1.0, 1.0, "img", 1.0)
+    record = r.JobRecord("open", 4, 0.0, spec)
+    assert asks.with_room(Job("j-1", 1, record, spec)) == 2
+    shown = Job("j-1", 1, record, spec, on_machines={2: r.Task("vm-2", 1)})
+    assert asks.with_room(shown) == 1  # it counts as bound already
