--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -4,13 +4,13 @@
 import logging
 from collections.abc import Callable
 
-import msgspec
-
 from pulleydeal import constants as c
 from pulleydeal import rules
 from pulleydeal.clock import Clock
 from pulleydeal.fleet import plan
 from pulleydeal.fleet.cloud import Cloud, CloudTrouble, NoCapacity
+from pulleydeal.fleet.machine_records import FAILED, NEVER_CAME_UP, MachineRecords
+from pulleydeal.fleet.messages import Listed
 from pulleydeal.membership.service import Membership
 from pulleydeal.policy.language import Value
 from pulleydeal.policy.settings import Policy
@@ -26,7 +26,7 @@
 log = logging.getLogger("pulleydeal.fleet")
 
 # Given back with all that is on them: the answer itself proves that it is gone.
-AT_ONCE = ("silent", "sick", "failed", "never came up", *OUT_OF_SIGHT)
+AT_ONCE = ("silent", "sick", FAILED, NEVER_CAME_UP, *OUT_OF_SIGHT)
 
 
 class Fleet:
@@ -56,7 +56,7 @@
         self._teams = teams
         self._zones = zones
         self._objectives = objectives
-        self._batch = min(store.limits.ops, c.RECORDS_AT_ONCE)  # machine records in a transaction
+        self._records = MachineRecords(store, clock)
         # As large as every version can record while the present limits hold.
         self._most_rented = min(limits.txn_ops, c.RECORDS_AT_ONCE) - 1
         self._recent: dict[str, dict[str, tuple[float, r.JobSpec]]] = {}  # class -> job -> came
@@ -205,9 +205,9 @@
         # The rental goes with the last of its machines: until then whoever leads repeats it, and
         # the cloud names the same machines. An older version may have rented more than fit into
         # one transaction of today's limits.
-        last = max(0, (len(new) - 1) // (self._batch - 1)) * (self._batch - 1)
-        for start in range(0, last + 1, self._batch - 1):
-            batch = new[start : start + self._batch - 1]
+        last = max(0, (len(new) - 1) // (self._records.batch - 1)) * (self._records.batch - 1)
+        for start in range(0, last + 1, self._records.batch - 1):
+            batch = new[start : start + self._records.batch - 1]
             conditions = {r.rental_key(name): rental.version}
             conditions |= {r.machine_key(machine): 0 for machine in batch}
             if not await self._store.commit(
@@ -231,15 +231,20 @@
         failed = []
         for entry in listed:
             machine = self._replica.machines.get(entry.id)
-            type_ = self._replica.types.get(entry.type)
             if machine is None:
-                if entry.state == "failed" or (
-                    entry.state == "starting" and type_ and self._late(entry.age_s, type_)
-                ):
-                    await self._cloud_return([entry.id])
+                if why := self._why_useless(entry):
+                    await self._records.mark_unknown(entry, why)
             elif machine.record.state in ("up", "boot") and entry.state == "failed":
                 failed.append(machine)
-        await self._mark(failed, "failed")
+        await self._records.mark(failed, FAILED)
+
+    def _why_useless(self, entry: Listed) -> str:
+        """Why a machine without a record is of no use; empty: it may still come up."""
+        if entry.state == "failed":
+            return FAILED
+        type_ = self._replica.types.get(entry.type)
+        is_late = type_ is not None and self._late(entry.age_s, type_)
+        return NEVER_CAME_UP if entry.state == "starting" and is_late else ""
 
     def _late(self, age_s: float, type_: r.MachineType) -> bool:
         return age_s > c.BOOT_FACTOR * type_.boot_s + c.LIST_EVERY_S
@@ -252,15 +257,6 @@
             return False
         return True
 
-    async def _mark(self, machines: list[Machine], why: str, turn: Turn = Turn.LATER) -> None:
-        wall = self._clock.wall()
-
-        def drain(old: r.MachineRecord) -> r.MachineRecord:
-            return msgspec.structs.replace(old, state="drain", why=why, at=wall)
-
-        for machine in await self._rewrite(machines, drain, turn):
-            log.info("machine %s is to go: %s", machine.id, why, extra={"machine": machine.id})
-
     # --- returning ------------------------------------------------------------------------
     async def give_back(self) -> None:
         """One round: idle machines are marked, and marked ones given back once empty."""
@@ -275,8 +271,8 @@
         for start in range(0, len(ready), c.RETURN_BATCH):
             batch = ready[start : start + c.RETURN_BATCH]
             if await self._cloud_return([m.id for m in batch]):
-                await self._record_gone([machine.id for machine in batch])
-        await self._purge()
+                await self._records.record_gone([machine.id for machine in batch])
+        await self._records.purge()
 
     async def _mark_owed(self) -> None:
         """Machines out of sight, whose return is the only proof that their tasks are gone."""
@@ -286,7 +282,7 @@
             if machine.record.state in ("up", "drain") and machine.record.why not in AT_ONCE:
                 found.setdefault(why, []).append(machine)
         for why, machines in found.items():
-            await self._mark(machines, why, Turn.WORK)
+            await self._records.mark(machines, why, Turn.WORK)
 
     def _returnable(self, machine: Machine) -> bool:
         if machine.record.state != "drain":
@@ -297,47 +293,6 @@
         seen = self._replica.revision >= machine.version
         return seen and not self._replica.bound.get(machine.id)
 
-    async def _record_gone(self, machines: list[str]) -> None:
-        wall = self._clock.wall()
-
-        def gone(old: r.MachineRecord) -> r.MachineRecord:
-            return msgspec.structs.replace(old, state="gone", at=wall)
-
-        while left := [
-            machine
-            for machine in map(self._replica.machines.get, machines)
-            if machine is not None and machine.record.state != "gone"
-        ]:
-            for machine in await self._rewrite(left, gone, turn=Turn.FIRST):
-                log.info(
-                    "machine %s given back (%s)",
-                    machine.id,
-                    machine.record.why,
-                    extra={"machine": machine.id},
-                )
-
-    async def _rewrite(
-        self,
-        machines: list[Machine],
-        change: Callable[[r.MachineRecord], r.MachineRecord | None],
-        turn: Turn,
-    ) -> list[Machine]:
-        """Changes records (None: drops them), many in one transaction; tells which it did."""
-        written = []
-        for start in range(0, len(machines), self._batch):
-            batch = machines[start : start + self._batch]
-            conditions = {r.machine_key(m.id): m.version for m in batch}
-            conditions[r.VIEW] = self._replica.view_version
-            new = {r.machine_key(m.id): change(m.record) for m in batch}
-            puts: dict[str, object] = {k: v for k, v in new.items() if v is not None}
-            drops = [k for k, v in new.items() if v is None]
-            if await self._store.commit(conditions, puts, drops, turn=turn):
-                written += batch
-            elif len(batch) > 1:
-                for machine in batch:  # one of them moved: the others need not wait for it
-                    written += await self._rewrite([machine], change, turn)
-        return written
-
     async def _mark_unneeded(self) -> None:
         now, wall = self._clock.now(), self._clock.wall()
         idle: dict[str, float] = {}
@@ -355,7 +310,7 @@
             elif rec.state == "up" and machine.id in untouched:
                 idle[machine.id] = self._idle_since.get(machine.id, now)
         self._idle_since = idle
-        await self._mark(late, "never came up")
+        await self._records.mark(late, NEVER_CAME_UP)
         fleet = self._described(demand)
         there = [(self._replica.machines.get(machine), since) for machine, since in idle.items()]
         old = [
@@ -368,7 +323,7 @@
         spare = int(self._policy.value("spare_machines", fleet))
         ordinary = [m for m in old if not m.record.spot]
         kept = {m.id for m in ordinary[: max(0, spare - (len(idle) - len(old)))]}
-        await self._mark([m for m in old if m.id not in kept], IDLE)
+        await self._records.mark([m for m in old if m.id not in kept], IDLE)
 
     def _described(self, demand: plan.Demand) -> dict[str, Value]:
         up = sum(m.record.state == "up" for m in self._replica.machines.values())
@@ -386,14 +341,3 @@
             "boot_s": type_.boot_s,
         }
         return self._policy.value("idle_stay_s", fleet | machine)
-
-    async def _purge(self) -> None:
-        wall = self._clock.wall()
-        old = [
-            machine
-            for machine in self._replica.machines.values()
-            if machine.record.state == "gone"
-            and wall - machine.record.at > c.GONE_KEEP_S
-            and not self._replica.bound.get(machine.id)
-        ]
-        await self._rewrite(old, lambda record: None, turn=Turn.LATER)
