--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -153,6 +153,11 @@
         self._note_reachable(order.station, result.is_understood)
         if result.report is None:
             order.station.mute_since = None
+        if result.is_elsewhere:
+            # Orders name no machine: whoever has the address would carry them out. Its own next
+            # check-in says where it is.
+            self.drop(order.station.addr)
+            order.station.addr = ""
         match result.outcome:
             case Outcome.EXECUTED:
                 for start in order.runs:
--- a/pulleydeal/workers/outcomes.py
+++ b/pulleydeal/workers/outcomes.py
@@ -29,11 +29,13 @@
 @dataclass(frozen=True, slots=True)
 class OrderResult:
     """`report`: the machine's own, if one came, whatever the outcome. `reason`: why nothing is
-    known, or why the order was not sent; the same words for the same cause."""
+    known, or why the order was not sent; the same words for the same cause. `is_elsewhere`: another
+    machine has the address by now."""
 
     outcome: Outcome
     report: m.Report | None = None
     reason: str = ""
+    is_elsewhere: bool = False
 
     @property
     def is_understood(self) -> bool:
@@ -50,7 +52,8 @@
     except MALFORMED:
         return OrderResult(Outcome.NOT_UNDERSTOOD, reason=f"status {status} without a report")
     if report.machine != order.station.id:
-        return OrderResult(Outcome.NOT_UNDERSTOOD, reason="another machine's report")
+        reason = "another machine's report"
+        return OrderResult(Outcome.NOT_UNDERSTOOD, reason=reason, is_elsewhere=True)
     right = order.right
     is_accepted = report.session == right.session and report.token >= right.token
     is_refused = report.session != right.session or report.token > right.token
--- a/tests/test_wrong_answers.py
+++ b/tests/test_wrong_answers.py
@@ -79,6 +79,15 @@
     assert station.entries == {} and station.seq == 1
 
 
+def test_an_address_at_which_another_machine_answers_is_left_until_its_own_names_it() -> None:
+    """`/orders` names no machine: whoever has the address by now carries the commands out."""
+    slice_ = play_order(nothing, Replies(Response(200, report("vm-2", 9).body)))
+    station = slice_.stations["vm-1"]
+    assert station.addr == ""
+    absorb(station, decoded(report("vm-1", 2)), 1.0, checkin=True)
+    assert station.addr == ADDRESS
+
+
 def test_a_start_of_unknown_outcome_is_settled_by_a_report_with_a_higher_token() -> None:
     """As after an order that got no answer: the token fences it, and a report shows the token."""
     slice_ = play_order(nothing, Replies(answer(500, {})))
