--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -128,7 +128,9 @@
 
         def rank(job: Job) -> tuple[object, ...]:
             assert job.spec is not None
-            turn = (*rules.turn(job, self._objectives, wall, self._policy), rules.starts_by(job))
+            turn = rules.Turn(
+                *rules.turn(job, self._objectives, wall, self._policy), rules.starts_by(job)
+            )
             self._turns[job.id] = turn
             return (-job.spec.priority, job.id not in inside, *turn, job.id)
 
--- a/pulleydeal/rollouts/decide.py
+++ b/pulleydeal/rollouts/decide.py
@@ -9,12 +9,11 @@
 from pulleydeal.rollouts import constants as rc
 from pulleydeal.rollouts.constants import HEALTHY, QUEUED, STARTING, UNHEALTHY, UNKNOWN
 from pulleydeal.rollouts.description import Description
+from pulleydeal.rollouts.look import Look
 from pulleydeal.rollouts.seen import (
     Decision,
     Seen,
     World,
-    copy_of,
-    emptiest,
     line_of,
     named,
     version_of,
@@ -30,61 +29,12 @@
     current = service.rollout.to if service.rollout else service.good
     if current not in descriptions:
         return None  # nothing was ever good here, or its description is still on its way
-    return _Look(service, descriptions, world).next()
+    return _Steps(service, descriptions, world).next()
 
 
-class _Look:
-    """One look at a service; holds what its questions share."""
+class _Steps(Look):
+    """Chooses one step of those that are due."""
 
-    def __init__(
-        self, service: Service, descriptions: dict[int, Description], world: World
-    ) -> None:
-        self.s = copy_of(service)
-        self.r = self.s.rollout
-        self.world = world
-        self.now = world.now
-        self.descriptions = descriptions
-        self.main = self.r.to if self.r and self.r.phase != "returning" else self.s.good
-        self.d = descriptions.get(self.main) or descriptions[self.r.to if self.r else self.main]
-        self.by_serial = {seen.slot.serial: seen for seen in world.copies}
-        there = [self.by_serial[x.serial] for x in self.s.slots if x.serial in self.by_serial]
-        self.staying = [seen for seen in there if not seen.slot.leaving and not seen.over]
-        # What nobody has seen for a while is not there as far as refilling goes, and may be as
-        # far as the limit goes: it counts as soon as it is seen again.
-        rounds_s = 2 * self.d.check.every_s * (self.d.check.healthy_after + 1)
-        lost_s = max(rc.LOST_S, rounds_s)  # a new leader needs some rounds to know a copy
-        self.lost = [x for x in self.staying if x.state == UNKNOWN and x.for_s > lost_s]
-        lost = {x.slot.serial for x in self.lost}
-        self.present = [x for x in self.staying if x.slot.serial not in lost]
-        self.stands = False  # it holds: nothing is done but to refill a broken floor
-        self.healthy = sum(x.state == HEALTHY for x in self.staying)
-
-    # --- questions --------------------------------------------------------------------------
-    def of(self, version: int) -> list[Seen]:
-        return [x for x in self.present if x.slot.version == version]
-
-    def others(self, version: int) -> list[Seen]:
-        return [x for x in self.present if x.slot.version != version]
-
-    def want(self) -> int:
-        """Copies of `main` that this step asks for."""
-        if self.s.removed:
-            return 0
-        if self.r and self.r.phase in ("advancing", "baking") and self.s.good:
-            return self.d.wanted[min(self.r.step, len(self.d.wanted) - 1)]
-        # A first version has nothing beside it that steps could spare.
-        return self.d.copies if self.main else 0
-
-    def least(self) -> int:
-        """Healthy copies that no decision may go under: the higher floor of the two versions."""
-        if self.s.removed or not self.s.good:
-            return 0
-        floors = [self.d.least]
-        if self.s.good in self.descriptions:
-            floors.append(self.descriptions[self.s.good].least)
-        return max(floors)
-
-    # --- decisions --------------------------------------------------------------------------
     def next(self) -> Decision | None:
         found = self._forget() or self._leave() or self._against() or self._passed_deadline()
         if found is not None:
@@ -187,15 +137,15 @@
 
     def _move_queued(self) -> Decision | None:
         """A copy that waits for room in its zone is placed in another, if there is one."""
-        stuck = [x for x in self.present if x.slot.zone and self._stuck(x)]
-        if not stuck or len(self._zones_open(self.d)) == 0:
+        stuck = [x for x in self.present if x.slot.zone and self.is_stuck(x)]
+        if not stuck or len(self.zones_open(self.d)) == 0:
             return None
         moved = stuck[: rc.AT_ONCE]
         full = {x.slot.zone for x in moved}
-        if not set(self._zones_open(self.d)) - full:
+        if not set(self.zones_open(self.d)) - full:
             return None
         for x in moved:
-            self._slot(x).leaving = self.now
+            self.slot_of(x).leaving = self.now
         self.present = [x for x in self.present if x not in moved]
         lines = [line_of(x) for x in moved]
         return Decision(self.s, f"places {len(moved)} copies in other zones", "no room", lines)
@@ -251,7 +201,7 @@
         slots = []
         for _ in range(min(count, rc.AT_ONCE, most)):
             self.s.serial += 1
-            slot = Slot(self.s.serial, version, self._zone(d), self.now)
+            slot = Slot(self.s.serial, version, self.next_zone(d), self.now)
             self.s.slots.append(slot)
             self.present.append(Seen(slot, QUEUED))
             slots.append(slot)
@@ -272,7 +222,7 @@
         if self.r:
             self.r.hold = ""
         for x in going:
-            self._slot(x).leaving = self.now
+            self.slot_of(x).leaving = self.now
         slots = [x.slot for x in going]
         return Decision(self.s, f"takes out {named(slots)}", f"{self.healthy} are healthy")
 
@@ -317,7 +267,7 @@
             return self._returned()
         mine = self.of(r.to)
         complete = (
-            not self._short()
+            not self.is_short()
             and all(x.state == HEALTHY for x in mine)
             and not any(x.leaving for x in self.s.slots)
         )
@@ -327,7 +277,7 @@
             r.phase, r.since, r.hold = "baking", self.now, ""
             return Decision(self.s, f"bakes step {r.step + 1}", f"{len(mine)} new are healthy")
         if not complete:
-            if not any(x.state in (QUEUED, UNHEALTHY) for x in mine) and not self._short():
+            if not any(x.state in (QUEUED, UNHEALTHY) for x in mine) and not self.is_short():
                 return None  # merely not seen for a moment: `steady_s` begins again by itself
             r.phase, r.since = "advancing", self.now
             lines = [line_of(x) for x in mine if x.state != HEALTHY]
@@ -340,9 +290,6 @@
         self.s.good, self.s.rollout = r.to, None
         return Decision(self.s, f"done: version {r.to} is good", "healthy to the end")
 
-    def _short(self) -> bool:
-        return len(self.of(self.main)) < self.want() or len(self.present) != self.d.copies
-
     def _baked(self) -> Decision:
         """The step's copies have been healthy for long enough."""
         r = self.r
@@ -357,7 +304,7 @@
     def _returned(self) -> Decision | None:
         good = self.of(self.s.good) if self.s.good else []
         rest = self.others(self.s.good)
-        if rest or any(x.leaving for x in self.s.slots) or len(good) < self._copies_back():
+        if rest or any(x.leaving for x in self.s.slots) or len(good) < self.copies_back():
             return None
         if any(x.state != HEALTHY for x in good):
             return None
@@ -365,9 +312,6 @@
         to = f"version {self.s.good} serves" if self.s.good else "no version serves"
         return Decision(self.s, f"returned: {to}", f"{len(good)} healthy copies")
 
-    def _copies_back(self) -> int:
-        return self.d.copies if self.s.good and not self.s.removed else 0
-
     # --- holding ----------------------------------------------------------------------------
     def _hold(self) -> Decision | None:
         """Says why it does not go on, when that has changed."""
@@ -396,29 +340,3 @@
         r.hold = why[: 2 * rc.EVIDENCE_CHARS]
         lines = [line_of(x) for x in evidence]
         return Decision(self.s, "holds", why, lines, told=bool(evidence))
-
-    # --- zones ------------------------------------------------------------------------------
-    def _zones_open(self, d: Description) -> list[str]:
-        """Zones that may take a copy: seen, and with nobody who waits for room there."""
-        allowed = [z for z in self.world.zones if d.zones is None or z in d.zones]
-        shut = {x.slot.zone for x in self.lost}
-        shut -= {x.slot.zone for x in self.present if x.state == HEALTHY}
-        shut |= {x.slot.zone for x in self.present if self._stuck(x)}
-        return [z for z in allowed if z not in shut]
-
-    def _zone(self, d: Description) -> str:
-        """Where the next copy goes: the zone with the fewest, over all versions together."""
-        if not d.spread and d.zones is None:
-            return ""
-        zones = self._zones_open(d) or [z for z in self.world.zones if not d.zones or z in d.zones]
-        return emptiest(zones, self.present, self.main)
-
-    def _stuck(self, x: Seen) -> bool:
-        """It waits for room in vain; soon for one that lost its machine where none is left."""
-        if x.state != QUEUED:
-            return False
-        alone = not any(y.state == HEALTHY and y.slot.zone == x.slot.zone for y in self.present)
-        return x.for_s > (rc.LOST_S if x.again and alone and self.healthy else rc.QUEUED_S)
-
-    def _slot(self, seen: Seen) -> Slot:
-        return next(x for x in self.s.slots if x.serial == seen.slot.serial)
--- a/pulleydeal/rules.py
+++ b/pulleydeal/rules.py
@@ -1,6 +1,7 @@
 """What PROTOCOL allows: zones, limits, guarantees. Plain functions over the replica."""
 
 from collections import Counter
+from typing import NamedTuple
 
 from pulleydeal import constants as c
 from pulleydeal.policy.language import Value
@@ -116,7 +117,12 @@
     return missed, 0.0 if spec.kind == "gang" else left
 
 
-Turn = tuple[int, float, float]  # aims missed, work, time of day; smaller goes first
+class Turn(NamedTuple):
+    """Smaller goes first."""
+
+    missed: int  # aims of its job that can no longer be met
+    work: float  # by the kind of job: see `turn`
+    at: float  # time of day: when its job came, or has to start
 
 
 def task_turn(spec: r.JobSpec, turn: Turn, ahead: int) -> Turn:
@@ -128,8 +134,7 @@
     """
     if spec.kind != "service":
         return turn
-    missed, _, at = turn
-    return missed, ahead / spec.tasks, at
+    return turn._replace(work=ahead / spec.tasks)
 
 
 def can_lose(job: Job, objectives: list[Objective], wall: float) -> bool:
--- a/tests/test_waiting_turns.py
+++ b/tests/test_waiting_turns.py
@@ -58,7 +58,7 @@
 def asks_of(job: str, copies: int, running: int, at: float) -> list[Waiting]:
     """As one leader sends them in one round."""
     spec = r.JobSpec(job, "c", "core", "service", 3, copies, 1.0, 1.0, 1.0, "img", 1.0)
-    turn = (0, running / copies, at)
+    turn = rules.Turn(0, running / copies, at)
     return [
         Waiting(
             ask_for(spec, index, 3, False, rules.task_turn(spec, turn, index), ["east"], []),
@@ -80,7 +80,7 @@
 
 def test_the_turn_of_an_arrays_task_is_its_jobs() -> None:
     spec = r.JobSpec("j-1", "c", "core", "array", 1, 6, 1.0, 1.0, 1.0, "img", 1.0)
-    assert rules.task_turn(spec, (1, 30.0, 2.0), 4) == (1, 30.0, 2.0)
+    assert rules.task_turn(spec, rules.Turn(1, 30.0, 2.0), 4) == (1, 30.0, 2.0)
 
 
 def test_tasks_that_have_room_or_are_being_bound_count_as_there() -> None:
