--- a/pulleydeal/workers/eviction.py
+++ b/pulleydeal/workers/eviction.py
@@ -84,7 +84,7 @@
             if self._stations.get(station.id) is not station:
                 continue  # given up while an earlier one was being written
             quiet = silent_s(station, now) > c.PROBE_REPORTS * report_s
-            if quiet or station.unanswered_since is not None:
+            if quiet or station.unanswered_since is not None or station.is_misunderstood:
                 self._commanding.probe(station)
             record = self._replica.machines.get(station.id)
             if record is not None and record.record.why == IDLE:
--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -150,9 +150,7 @@
 
     def _conclude(self, order: Order, result: OrderResult) -> None:
         """What the result says of the machine, and of the starts that the order carried."""
-        self._note_reachable(order.station, result.is_understood)
-        if result.report is None:
-            order.station.mute_since = None
+        self._note_reachable(order.station, result)
         if result.is_elsewhere:
             # Orders name no machine: whoever has the address would carry them out. Its own next
             # check-in says where it is.
@@ -168,11 +166,13 @@
             case Outcome.UNANSWERED | Outcome.NOT_UNDERSTOOD:
                 self._unsettle(order, executed=True)
 
-    def _note_reachable(self, station: Station, understood: bool) -> None:
-        """A machine whose answers are not understood is of no more use than one that gives none."""
-        if understood == (station.unanswered_since is None):
+    def _note_reachable(self, station: Station, result: OrderResult) -> None:
+        station.is_misunderstood = result.outcome is Outcome.NOT_UNDERSTOOD
+        if not result.is_answered:
+            station.mute_since = None
+        if result.is_answered == (station.unanswered_since is None):
             return
-        station.unanswered_since = None if understood else self._clock.now()
+        station.unanswered_since = None if result.is_answered else self._clock.now()
         self._owner.reachability_changed(station.id)
 
     def _unsettle(self, order: Order, executed: bool) -> None:
--- a/pulleydeal/workers/outcomes.py
+++ b/pulleydeal/workers/outcomes.py
@@ -38,9 +38,9 @@
     is_elsewhere: bool = False
 
     @property
-    def is_understood(self) -> bool:
-        """Whether the machine answered as PROTOCOL says."""
-        return self.outcome in (Outcome.EXECUTED, Outcome.REFUSED)
+    def is_answered(self) -> bool:
+        """Whether the machine is reached, whatever it says."""
+        return self.outcome not in (Outcome.NOT_SENT, Outcome.UNANSWERED)
 
 
 def read_answer(order: Order, status: int, body: bytes) -> OrderResult:
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -35,6 +35,7 @@
     Station,
     TaskId,
     absorb,
+    forget_kills,
     is_settled,
     reconcile,
 )
@@ -346,6 +347,11 @@
             self._plan(station)
             return
         plan = self._plan(station)
+        if station.is_misunderstood:
+            # What it does with an order can't be told: the answers to its check-ins carry the
+            # commands, until it answers a probe as it should.
+            forget_kills(station, plan.calls)
+            return
         urgent = [call for call in plan.calls if call["call"] != "clear"]
         if urgent or any(
             sent.fence is not None and not sent.settled for sent in station.sent.values()
--- a/pulleydeal/workers/station.py
+++ b/pulleydeal/workers/station.py
@@ -84,8 +84,8 @@
     killed_at: dict[tuple[Start, bool], float] = field(default_factory=dict)
     errors: list[tuple[float, Start]] = field(default_factory=list)
     busy: bool = False  # a direct order is in flight
-    # Orders get no answer, or none that is understood, from then on; None: the last one did.
-    unanswered_since: float | None = None
+    unanswered_since: float | None = None  # orders get no answer from then on; None: the last did
+    is_misunderstood: bool = False  # the last order's answer was not understood
     wrong_answers: Counter[str] = field(default_factory=Counter)  # to orders, by what was wrong
     reported: list[m.ReportedTask] = field(default_factory=list)  # as in the last report taken in
     # The last full plan found nothing to do, and nothing that it was made from has changed since.
