--- a/tests/test_wrong_answers.py
+++ b/tests/test_wrong_answers.py
@@ -32,11 +32,13 @@
 from pulleydeal.store.client import Refused, StateClient, Unavailable, Unknown
 from pulleydeal.store.service import forever
 from pulleydeal.workers import messages as m
+from pulleydeal.workers.commands import Order
+from pulleydeal.workers.outcomes import Outcome, read_answer
 from pulleydeal.workers.reachability import one_way_for_long
 from pulleydeal.workers.station import absorb
 from standins.net import Host, on_host
 from standins.script import LoopClock, virtually
-from tests.test_commands import ADDRESS, START, VirtualStore, nothing, play_order
+from tests.test_commands import ADDRESS, RIGHT, START, VirtualStore, nothing, play_order, station
 from tests.test_pending_end import bound_job
 from tests.test_workers import machine, report, workers
 
@@ -106,6 +108,39 @@
     assert slice_.stations["vm-1"].sent[START].fence is not None
 
 
+@pytest.mark.parametrize(
+    ("status", "session", "token", "outcome"),
+    [
+        (200, 1, 3 << 24, Outcome.EXECUTED),
+        (200, 1, (3 << 24) + 1, Outcome.EXECUTED),
+        (200, 1, 2 << 24, Outcome.NOT_UNDERSTOOD),  # a report from before the order
+        (200, 2, 3 << 24, Outcome.NOT_UNDERSTOOD),
+        (409, 1, 3 << 24, Outcome.NOT_UNDERSTOOD),
+        (409, 1, 2 << 24, Outcome.NOT_UNDERSTOOD),
+        (409, 1, (3 << 24) + 1, Outcome.REFUSED),
+        (409, 2, 2 << 24, Outcome.REFUSED),
+    ],
+)
+def test_status_and_report_have_to_agree(
+    status: int, session: int, token: int, outcome: Outcome
+) -> None:
+    body = msgspec.json.decode(report("vm-1", 2, token=token).body) | {"shift": session}
+    order = Order(station(), RIGHT, [], [START], 0.0)
+    assert read_answer(order, status, msgspec.json.encode(body)).outcome is outcome
+
+
+def test_a_machine_that_answers_with_an_old_report_is_not_asked_in_a_tight_loop() -> None:
+    """Its token is below the order's, as a cache between gives it. Each such answer is taken for a
+    new life of the machine, which is asked at once: some hundred orders a second, and as many
+    raised fences. Seen in the log: "answers orders wrongly: status 200 and a report that
+    contradicts it (1 times)", over and over. Bound: asked again at once, then by `Eviction.tend`.
+    """
+    stale = answer(200, msgspec.json.decode(report("vm-1", 2, token=2 << 24).body))
+    target = Replies(stale)
+    play_order(nothing, target)
+    assert len(target.bodies) <= 2
+
+
 def test_a_refused_start_is_as_though_never_sent() -> None:
     newer = answer(409, msgspec.json.decode(report("vm-1", 2, token=(3 << 24) + 5).body))
     slice_ = play_order(nothing, Replies(newer))
