--- a/tests/test_wrong_answers.py
+++ b/tests/test_wrong_answers.py
@@ -25,6 +25,7 @@
 import pytest
 
 from experiments.answers import played
+from pulleydeal import constants as c
 from pulleydeal.fleet.cloud import Cloud, CloudTrouble
 from pulleydeal.http import Request, Response, Server, answer
 from pulleydeal.settings import StateLimits
@@ -33,13 +34,15 @@
 from pulleydeal.store.service import forever
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.commands import Order
+from pulleydeal.workers.eviction import Eviction
+from pulleydeal.workers.keeping import Keeping
 from pulleydeal.workers.outcomes import Outcome, read_answer
 from pulleydeal.workers.reachability import one_way_for_long
 from pulleydeal.workers.station import absorb
 from standins.net import Host, on_host
 from standins.script import LoopClock, virtually
 from tests.test_commands import ADDRESS, RIGHT, START, VirtualStore, nothing, play_order, station
-from tests.test_pending_end import bound_job
+from tests.test_pending_end import SlowStore, bound_job
 from tests.test_workers import machine, report, workers
 
 
@@ -195,6 +198,49 @@
         assert slice_.stations["vm-1"].unanswered_since is None
 
 
+def test_a_kill_that_no_order_carries_is_in_the_next_check_ins_answer() -> None:
+    """A look at the machine plans it, sends nothing, and must not take it for given."""
+
+    async def day() -> bytes:
+        world = SlowStore()
+        slice_ = workers(world)
+        world.put(r.machine_key("vm-1"), machine("up"))
+        await slice_.checkin(report("vm-1", 1, "j-9/0"))  # bound to nothing: told to stop
+        world.clock_s += c.KILL_REPEAT_S + 0.1
+        owned = slice_.stations["vm-1"]
+        owned.is_misunderstood = True
+        slice_._look(owned)
+        return (await slice_.checkin(report("vm-1", 2, "j-9/0"))).body
+
+    assert b'"kill"' in asyncio.run(day())
+
+
+def test_a_machine_that_is_not_understood_is_probed_though_it_reports() -> None:
+    class Probes:
+        def __init__(self) -> None:
+            self.asked: list[str] = []
+            self.orders = self
+
+        def drop_stale(self) -> None: ...
+
+        def probe(self, owned: Any) -> None:
+            self.asked.append(owned.id)
+
+    async def day(is_misunderstood: bool) -> list[str]:
+        world, probes = SlowStore(), Probes()
+        slice_ = workers(world)
+        world.put(r.machine_key("vm-1"), machine("up"))
+        await slice_.checkin(report("vm-1", 1))
+        slice_.stations["vm-1"].is_misunderstood = is_misunderstood
+        me: Any = world
+        eviction = Eviction(me, me, slice_._times, me, slice_.stations, probes, Keeping(), set())  # type: ignore[arg-type]
+        await eviction.tend()
+        return probes.asked
+
+    assert asyncio.run(day(is_misunderstood=True)) == ["vm-1"]
+    assert asyncio.run(day(is_misunderstood=False)) == []
+
+
 # --- the same of the state service and the cloud -------------------------------------------------
 StateTrouble = (Unavailable, Unknown, Refused)
 ODD_STATUSES = [500, 502, 504, 302]
