Review: a gang that must be spread is not started again

Cause: all its tasks ask for credit in all zones at once, are granted on one machine, refused by the rule for zones, and ask for the same again. Change: case 3 of the review; workers of cases 1 and 3 name attempts in the order of their starts.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit codes: 1 the rule was broken, 0 it held, 2 the case couldn't run. TROUBLE=0: without trouble.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH="target/deps:." PYTHONDONTWRITEBYTECODE=1 exec python3 -m review.3.case
--- a/review/harness.py
+++ b/review/harness.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shlex
+import shutil
 import signal
 import sys
 import tempfile
@@ -62,10 +63,12 @@
 
     - Exited attempts are reported until a `clear` removes them, also if another attempt of the
       same task was started since; a start that is refused with `in_use` is such an attempt too.
-    - Reports name live tasks first and exited ones after them, as in PROTOCOL's example.
+    - Reports name attempts in the order of their starts or, with `live_first`, live tasks first and
+      exited ones after them, as in PROTOCOL's example.
     - The other tasks of a running gang notice the loss of one after up to `gang_peer_s`.
     """
 
+    live_first = False
     record: Record
     vary: dict[str, Callable[[], float]]
 
@@ -86,8 +89,10 @@
             }
             for task, ended in self.ended
         ]
-        lifts = [*report["lifts"], *earlier]
-        report["lifts"] = sorted(lifts, key=lambda lift: lift["tension"] == "exited")
+        lifts = sorted([*earlier, *report["lifts"]], key=lambda lift: lift["pull"])
+        if self.live_first:
+            lifts.sort(key=lambda lift: lift["tension"] == "exited")
+        report["lifts"] = lifts
         if len({lift["lift"] for lift in lifts}) < len(lifts):
             shown = [(x["lift"], x["pull"], x["tension"]) for x in report["lifts"]]
             self.record.write(f"{self.machine} reports {shown}")
@@ -335,9 +340,12 @@
             print(f"can't run: {error!r}", file=sys.stderr)
             return NOT_RUN
         finally:
+            for task in (left := asyncio.all_tasks(loop)):
+                task.cancel()
+            loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+            loop.close()
             if keep := os.environ.get("KEEP_LOGS"):
-                with contextlib.suppress(OSError):
-                    os.system(f"mkdir -p {shlex.quote(keep)}; cp {temporary}/*.log {keep}/")
+                shutil.copytree(temporary, keep, dirs_exist_ok=True)
         found = [line for line in town.rules.broken if line.split()[1] == f"{rule}:"]
     for line in found or [f"{rule} held"]:
         town.record.write(f"verdict: {line}")
