--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 from review.harness import TROUBLE, ReviewTown, job, run
 
 STAGES = 9
-WIDTH = 10  # jobs of a stage; each waits on all jobs of the stage before it
+WIDTH = 11  # jobs of a stage; each waits on all jobs of the stage before it
 HANG_S = 30.0  # a probe fails after 1 s, a user's request after 5 s: far above both
 USER_S = 60.0  # PROTOCOL: a request is repeated for up to 60 s in total
 
