Review: a script that fails by itself ends with 2

Cause: an exception that nobody expected ended a script with 1, as if the rule were broken; case 2 held if no controller served at all; case 3 didn't notice a submission that failed. Change: 1 is for a broken rule alone; both cases end with 2 then.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import sys
+from typing import Any
 
 from review.harness import TROUBLE, PageWorker, ReviewTown, job, run
 
@@ -26,12 +27,14 @@
         20.0,
     )
     began, number = town.now(), 3
+    submissions: list[asyncio.Task[Any]] = []
     while town.now() - began < FOR_S and not town.rules.broken:
         for _ in range(FACTOR if TROUBLE else 1):
             short = job(f"j-{number}", lifts=1, haul_s=4.0)
-            town.spawn(town.submit(short, random.uniform(2.5, 5.0)))
+            submissions.append(town.spawn(town.submit(short, random.uniform(2.5, 5.0))))
             number += 1
         await asyncio.sleep(EVERY_S)
+        town.check_submitted(submissions)
     await asyncio.sleep(1.0)
 
 
--- a/review/harness.py
+++ b/review/harness.py
@@ -247,6 +247,12 @@
             await asyncio.sleep(1.0)
         raise CannotRun(f"{body['name_id']} was not accepted")
 
+    def check_submitted(self, submissions: "list[asyncio.Task[Any]]") -> None:
+        """Raises what made a submission that has ended fail; else nobody would learn of it."""
+        for task in submissions:
+            if task.done():
+                task.result()
+
     async def cancel(self, job: str) -> bool:
         """Cancels a job; repeats it for up to 60 s, as users do. Returns whether 200 came."""
         began = self.now()
@@ -344,13 +350,17 @@
     with tempfile.TemporaryDirectory(prefix="pulleydeal-review-") as temporary:
         loop = asyncio.new_event_loop()
         asyncio.set_event_loop(loop)
-        town = ReviewTown(Path(temporary), path, **options)
+        try:
+            town = ReviewTown(Path(temporary), path, **options)
+        except (TownError, OSError) as error:
+            print(f"can't run: {error!r}", file=sys.stderr)
+            return NOT_RUN
         main = loop.create_task(asyncio.wait_for(whole(town), 115.0))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, main.cancel)
         try:
             loop.run_until_complete(main)
-        except (CannotRun, TownError, TimeoutError, asyncio.CancelledError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # 1 is for a broken rule alone
             town.record.write(f"can't run: {error!r}")
             print(f"can't run: {error!r}", file=sys.stderr)
             return NOT_RUN
