--- a/pulleydeal/credits/builder.py
+++ b/pulleydeal/credits/builder.py
@@ -71,9 +71,9 @@
             room.subtract(resources_needed(spec))
             if not task.stop and spec.priority < len(r.PRIORITIES) - 1:
                 victims.append(_victim(index, task, spec, self._would_miss_objective(job_id)))
-        for task_id, entry in tracked.tasks.items():
+        for task_id in tracked.live_attempts:
             job = self._replica.jobs.get(task_id[0])
-            if task_id not in bound and entry.state != "exited" and job and job.spec:
+            if task_id not in bound and job and job.spec:
                 # No longer bound, but it uses capacity until it is killed.
                 room.subtract(resources_needed(job.spec))
         for task_id, need in held:
@@ -106,7 +106,7 @@
         A binding counts its image as cached at once, but the download may take most of a minute.
         """
         result = set()
-        for (job_id, _), entry in tracked.tasks.items():
+        for (job_id, _, _), entry in tracked.attempts.items():
             job = self._replica.jobs.get(job_id)
             if entry.state == "fetching" and job is not None and job.spec is not None:
                 result.add(job.spec.image)
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -32,7 +32,6 @@
     AttemptId,
     Plan,
     SentStart,
-    TaskId,
     TaskStatus,
     TrackedMachine,
     apply_report,
@@ -48,8 +47,8 @@
     """Default for `Workers.changed`, until a listener is set."""
 
 
-def _exited_tasks(tasks: dict[TaskId, TaskStatus]) -> set[TaskId]:
-    return {task_id for task_id, entry in tasks.items() if entry.state == "exited"}
+def _exited(attempts: dict[AttemptId, TaskStatus]) -> set[AttemptId]:
+    return {attempt_id for attempt_id, entry in attempts.items() if entry.state == "exited"}
 
 
 class Workers:
@@ -167,7 +166,7 @@
         """
         tracked = self.machines.pop(machine, None)
         if tracked is not None:
-            self._index_report(machine, tracked.tasks, {})
+            self._index_report(machine, tracked.attempts, {})
             self.commander.orders.drop(tracked.addr)
             self.on_credit_change(machine)
 
@@ -265,17 +264,17 @@
     def _apply_report(self, tracked: TrackedMachine, report: m.Report, checkin: bool) -> None:
         now = self._clock.now()
         with self._lock:
-            before = tracked.tasks
+            before = tracked.attempts
             status_before = (tracked.trusted, tracked.notice_at is None, self.silent(tracked))
             fresh = apply_report(tracked, report, now, checkin)
-            if fresh and before is not tracked.tasks:
-                self._index_report(tracked.id, before, tracked.tasks)
+            if fresh and before is not tracked.attempts:
+                self._index_report(tracked.id, before, tracked.attempts)
         if not fresh:
             return
-        progressed = before is not tracked.tasks and before != tracked.tasks
+        progressed = before is not tracked.attempts and before != tracked.attempts
         if progressed:
             task_log.log_progress(tracked, before)
-        if not checkin or (progressed and _exited_tasks(before) != _exited_tasks(tracked.tasks)):
+        if not checkin or (progressed and _exited(before) != _exited(tracked.attempts)):
             self._dirty.add(tracked.id)
             self._wake.set()
         # Most reports contain no change; recomputing the credit for each would use a whole core.
@@ -284,9 +283,12 @@
             self.on_credit_change(tracked.id)
 
     def _index_report(
-        self, machine: str, before: dict[TaskId, TaskStatus], tasks: dict[TaskId, TaskStatus]
+        self,
+        machine: str,
+        before: dict[AttemptId, TaskStatus],
+        attempts: dict[AttemptId, TaskStatus],
     ) -> None:
-        old, new = {job for job, _ in before}, {job for job, _ in tasks}
+        old, new = {job for job, _, _ in before}, {job for job, _, _ in attempts}
         for job in old - new:
             machines = self._machines_by_job.get(job, set())
             machines.discard(machine)
@@ -391,7 +393,7 @@
             )
             with self._lock:
                 self.machines[tracked.id] = new
-                self._index_report(tracked.id, tracked.tasks, {})
+                self._index_report(tracked.id, tracked.attempts, {})
             tracked = new
         self._apply_report(tracked, report, checkin=False)
         if not tracked.trusted:
--- a/pulleydeal/workers/task_log.py
+++ b/pulleydeal/workers/task_log.py
@@ -1,21 +1,22 @@
-"""Logs the task states that machines report. Decisions are logged by pulleydeal/decisions.py."""
+"""Logs states of reported attempts. Decisions are logged by pulleydeal/decisions.py."""
 
 import logging
 
-from pulleydeal.workers.tracked_machine import TaskId, TaskStatus, TrackedMachine
+from pulleydeal.workers.tracked_machine import AttemptId, TaskStatus, TrackedMachine
 
 log = logging.getLogger("pulleydeal.workers")
 
 
-def log_progress(tracked: TrackedMachine, before: dict[TaskId, TaskStatus]) -> None:
-    for task_id, entry in tracked.tasks.items():
-        old = before.get(task_id)
+def log_progress(tracked: TrackedMachine, before: dict[AttemptId, TaskStatus]) -> None:
+    for (job, index, attempt), entry in tracked.attempts.items():
+        old = before.get((job, index, attempt))
         if entry.state != "exited" and (old is None or old.state != entry.state):
             log.info(
                 "task %s/%d attempt %d on %s: %s",
-                *task_id,
-                entry.attempt,
+                job,
+                index,
+                attempt,
                 tracked.id,
                 entry.state,
-                extra={"job": task_id[0], "task": task_id[1], "machine": tracked.id},
+                extra={"job": job, "task": index, "machine": tracked.id},
             )
--- a/pulleydeal/workers/tracked_machine.py
+++ b/pulleydeal/workers/tracked_machine.py
@@ -20,9 +20,8 @@
 
 @dataclass(slots=True)
 class TaskStatus:
-    """A task as the machine last reported it."""
+    """An attempt of a task as the machine last reported it."""
 
-    attempt: int
     state: str  # a value of `messages.STATES`
     why: str = ""  # reason that the machine gave for its exit, translated by `messages.WHY`
     saved: bool = False  # its work was saved before it ended
@@ -95,7 +94,11 @@
     last_checkin_at: float | None = None  # steady time of the last check-in that was not outdated
     no_checkin_since: float | None = None  # since then it has answered orders but not checked in
     checkin_answered_at: float | None = None  # steady time of the last 200 sent to a check-in
-    tasks: dict[TaskId, TaskStatus] = field(default_factory=dict)
+    # PROTOCOL: an exited attempt is reported until it is cleared, so a report may name several
+    # attempts of one task, in any order.
+    attempts: dict[AttemptId, TaskStatus] = field(default_factory=dict)
+    # Task -> its attempt that has not exited.
+    live_attempts: dict[TaskId, AttemptId] = field(default_factory=dict)
     sent: dict[AttemptId, SentStart] = field(default_factory=dict)
     seen: set[AttemptId] = field(default_factory=set)  # attempts that it has reported
     # (attempt, whether it was given time to save) -> when the last kill was planned
@@ -137,7 +140,7 @@
         s.no_checkin_since = now
     s.notice_at = now + report.notice_s if report.notice_s is not None else None
     if report.tasks != s.raw_tasks:
-        _update_tasks(s, report.tasks)
+        _update_attempts(s, report.tasks)
     for attempt_id, sent in s.sent.items():
         if sent.settled:
             continue
@@ -155,25 +158,33 @@
             )
         ):
             sent.settled = True
-        entry = s.tasks.get(attempt_id[:2])
-        if entry is not None and entry.attempt == attempt_id[2] and not sent.direct:
+        if attempt_id in s.attempts and not sent.direct:
             sent.settled = True
     return True
 
 
-def _update_tasks(s: TrackedMachine, tasks: list[m.ReportedTask]) -> None:
-    """Replaces the task states. The caller skips reports whose tasks equal those of the last."""
+def _update_attempts(s: TrackedMachine, tasks: list[m.ReportedTask]) -> None:
+    """Replaces the reported states. The caller skips reports whose tasks equal those of the last.
+
+    Attempts are kept apart: when the last entry of a task hid the others, a running attempt counted
+    as absent as soon as an earlier one was named after it (docs/incidents/hidden-attempt.md).
+    """
     s.raw_tasks = tasks
     s.reconciled = False
-    s.tasks = {}
+    s.attempts = {}
+    s.live_attempts = {}
     for t in tasks:
         try:
             task_id = m.split_task(t.task)
         except ValueError:
             continue  # malformed task id
         why = m.WHY.get(t.why or "", t.why or "")
-        s.tasks[task_id] = TaskStatus(t.attempt, m.STATES[t.state], why, bool(t.saved))
-        s.seen.add((*task_id, t.attempt))
+        attempt_id = (*task_id, t.attempt)
+        status = TaskStatus(m.STATES[t.state], why, bool(t.saved))
+        s.attempts[attempt_id] = status
+        s.seen.add(attempt_id)
+        if status.state != "exited":
+            s.live_attempts[task_id] = attempt_id
 
 
 def lease_over(s: TrackedMachine, now: float, lease_s: float) -> bool:
@@ -246,12 +257,11 @@
         return plan
     for (job, index), target in desired.items():
         _reconcile_task(s, (job, index, target.task.attempt), target, now, plan, ending)
-    # Reported tasks whose attempt is not bound to the machine are killed, or cleared if they ended.
-    for (job, index), entry in s.tasks.items():
-        bound = desired.get((job, index))
-        if bound is not None and bound.task.attempt == entry.attempt:
+    # Reported attempts that are not bound to the machine are killed, or cleared if they ended.
+    for attempt_id, entry in s.attempts.items():
+        bound = desired.get(attempt_id[:2])
+        if bound is not None and bound.task.attempt == attempt_id[2]:
             continue
-        attempt_id = (job, index, entry.attempt)
         sent = s.sent.get(attempt_id)
         if entry.state != "exited":
             _plan_kill(s, attempt_id, 0.0, now, plan)
@@ -274,22 +284,21 @@
     plan: Plan,
     ending: Collection[AttemptId],
 ) -> None:
-    job, index, attempt = attempt_id
-    entry = s.tasks.get((job, index))
-    if entry is not None and entry.attempt == attempt:
+    entry = s.attempts.get(attempt_id)
+    if entry is not None:
         if entry.state == "exited":
             outcome = _exit_outcome(entry)
             # The machine reports only that the task was stopped, or ("peers") that its gang is
             # broken. `end_reason` tells users and operators why.
             stop_reason = entry.why in ("stopped", "peers") and target.end_reason
             detail = target.task.stop or stop_reason or entry.why
-            plan.exits.append(Exit(job, index, attempt, s.id, outcome, detail))
+            plan.exits.append(Exit(*attempt_id, s.id, outcome, detail))
         elif target.end_reason:
             _plan_kill(s, attempt_id, 0.0, now, plan)
         elif target.task.stop:
             _plan_kill(s, attempt_id, target.spec.save_s + 1.0, now, plan)
         return
-    if entry is not None and entry.state != "exited":
+    if attempt_id[:2] in s.live_attempts:
         return  # another attempt still runs here; `reconcile` kills it
     sent = s.sent.get(attempt_id)
     if sent is not None and not sent.settled:
@@ -336,8 +345,7 @@
     plan.needs_replan = True
     if now - s.killed_at.get(key, -1e9) < c.KILL_REPEAT_S:
         return
-    entry = s.tasks[attempt_id[:2]]
-    if entry.state == "saving" and grace_s > 0:
+    if s.attempts[attempt_id].state == "saving" and grace_s > 0:
         return
     s.killed_at[key] = now
     plan.calls.append(m.kill(*attempt_id, grace_s))
--- a/tests/test_wrong_answers.py
+++ b/tests/test_wrong_answers.py
@@ -89,7 +89,7 @@
     other = Response(200, checkin_request("vm-2", 9, "j-9/0").body)
     workers = run_order(no_change, FixedReply(other))
     tracked = workers.machines["vm-1"]
-    assert tracked.tasks == {} and tracked.seq == 1
+    assert tracked.attempts == {} and tracked.seq == 1
 
 
 def test_address_answered_by_another_machine_is_dropped_until_the_next_checkin() -> None:
