--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -9,6 +9,7 @@
 import math
 import random
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,7 @@
 from pulleydeal.http import Client, NoResponse
 from pulleydeal.settings import Settings
 from standins.acceptance import LOOK_S, WaitChecker, unserved
+from standins.attempts import REPORT_ORDERS, AttemptWorker, ReportOrder
 from standins.cloud import CloudService
 from standins.expected import Expected
 from standins.net import Host, Network, VirtualLoop, on_host
@@ -47,6 +49,7 @@
         self.featured: list[str] = []  # nodes with optional features; empty: all nodes
         self.journaling: list[str] | None = None  # None: no node; empty list: all nodes
         self._workers: dict[str, Worker] = {}
+        self._make_worker: Callable[..., Worker] = Worker  # for machines that boot from now on
         self._service_host = Host("10.2.0.0", "")
         self._user_host = Host("10.3.0.1", "")
         self.failures: list[str] = []
@@ -156,7 +159,7 @@
         ip = f"{WORKER_IP_PREFIX}{number // 250}.{number % 250 + 1}"
         host = self._hosts[machine] = Host(ip, zone)
         nodes = {n: f"{ip_}:8080" for n, ip_ in self._nodes.items()}
-        worker = self._workers[machine] = Worker(
+        worker = self._workers[machine] = self._make_worker(
             machine,
             f"{ip}:9000",
             machine_type,
@@ -187,6 +190,11 @@
             if keeps_counters:
                 self._workers[machine].resume_counters(old)
 
+    def do_keep_attempts(self, order: ReportOrder | None = None) -> None:
+        if order not in (None, *REPORT_ORDERS):
+            raise ValueError(order)
+        self._make_worker = partial(AttemptWorker, report_order=order)
+
     def do_late(self, machine: str, seconds: str) -> None:
         report = self._workers[machine].report()
         for address in self._nodes.values():
--- a/standins/script.py
+++ b/standins/script.py
@@ -29,6 +29,8 @@
   reboot BLOCK|ZONE AFTER_S afresh|on [SHARE]    machines lose their tasks and restart; session,
                                                  sequence number and token are reset, or kept
   late BLOCK SECONDS                             a new check-in reaches all nodes so much later
+  keep_attempts [ORDER]   machines that boot from now on report each attempt until it is cleared, in
+                      this order, or each in one of its own (standins/attempts.py)
   again JOB submit|cancel                        repeats a request of its user at each node
   deafen NODE                                    partitions the node from all workers
   die BLOCK|ZONE [SHARE] (that part of its machines) | sick BLOCK | notice BLOCK SECONDS
