--- a/pulleydeal/store/pipelines.py
+++ b/pulleydeal/store/pipelines.py
@@ -37,7 +37,9 @@
                 dependent.blockers.discard(job.id)
                 dependent.waiting_since = max(dependent.waiting_since, record.ended)
                 touched.add(name)
-        if record.state == "cancelled" or self._depends_on_cancelled(job):
+        if self._depends_on_cancelled(job):
+            job.dependency_cancelled = True
+        if job.is_cancelled:
             self._propagate_cancellation(job, touched)
         self._update_priorities([job.id], touched)
         touched.discard(job.id)
@@ -83,17 +85,23 @@
         )
 
     def _propagate_cancellation(self, first: Job, touched: set[str]) -> None:
-        """Marks all open jobs that depend on a cancelled one, directly or transitively."""
-        queue = deque([first])
-        while queue:
-            job = queue.popleft()
-            # Collected before `_unlink` changes `_dependents`.
-            dependents = [self._jobs[name] for name in self._dependents.get(job.id, ())]
-            if job.status == "open" and not job.dependency_cancelled:
-                job.dependency_cancelled = True
+        """Marks all open jobs that depend on a cancelled one, directly or transitively.
+
+        A job is marked when it is found, so it is visited once however many ways lead to it. When
+        it was marked as its turn came, it was visited once for each way, and every node stood still
+        (docs/incidents/pipeline-cancelled.md).
+        """
+        found = [first]
+        for job in found:  # grows in the loop
+            for name in self._dependents.get(job.id, ()):
+                dependent = self._jobs[name]
+                if dependent.is_open:
+                    dependent.dependency_cancelled = True
+                    found.append(dependent)
+        for job in found:
+            if job.status == "open":
                 touched.add(job.id)
                 self._unlink(job, touched)
-            queue.extend(j for j in dependents if j.status == "open" and not j.dependency_cancelled)
 
     def _update_priorities(self, names: Iterable[str], touched: set[str]) -> None:
         """Updates priority and due time of the named jobs and, on a change, of their dependencies.
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -23,6 +23,14 @@
     return r.JobRecord("open", 2, at, spec)  # type: ignore[arg-type]
 
 
+def entries(records: dict[str, r.JobRecord]) -> list[m.Entry]:
+    """The records as the state service lists them, in the order of their keys."""
+    return [
+        m.Entry(r.job_key(name), msgspec.Raw(msgspec.json.encode(records[name])), 1)
+        for name in sorted(records)
+    ]
+
+
 class Cluster:
     def __init__(self) -> None:
         self.records: dict[str, r.JobRecord] = {}
@@ -53,10 +61,7 @@
 
     def reloaded_replica(self, rng: random.Random) -> Replica:
         """The replica of a node that starts now and reads the same records in random order."""
-        items = [
-            m.Entry(r.job_key(name), msgspec.Raw(msgspec.json.encode(rec)), 1)
-            for name, rec in self.records.items()
-        ]
+        items = entries(self.records)
         rng.shuffle(items)
         replica = Replica()
         replica.load(items)
@@ -106,6 +111,58 @@
     assert sum(job.is_cancelled for job in reloaded.jobs.values()) == 401
 
 
+class CountedJobs(dict[str, Job]):
+    """The jobs of a replica; counts look-ups, each of which is one step of a walk."""
+
+    lookups = 0
+
+    def __getitem__(self, name: str) -> Job:
+        self.lookups += 1
+        return super().__getitem__(name)
+
+    def get(self, name: str, default: Job | None = None) -> Job | None:  # type: ignore[override]
+        self.lookups += 1
+        return super().get(name, default)
+
+
+def staged_pipeline(stages: int, width: int, newest_first: bool = False) -> tuple[Cluster, int]:
+    """A pipeline in which each job waits on all of the stage before; returns its dependencies too.
+
+    `newest_first`: ids fall from stage to stage, so a load meets dependents first.
+    """
+    cluster = Cluster()
+    before: list[str] = []
+    for stage in range(stages):
+        number = stages - stage if newest_first else stage
+        names = [f"j-{number}{i:02}" for i in range(width)]
+        for name in names:
+            cluster.submit(name, *before)
+        before = names
+    return cluster, (stages - 1) * width * width
+
+
+# Guards against `hang`: a job was visited once for each way to it, 8^4 ways in 5 stages of 8 jobs.
+def test_cancellation_visits_each_job_of_a_wide_pipeline_once() -> None:
+    cluster, dependencies = staged_pipeline(stages=5, width=8)
+    counted = CountedJobs(cluster.replica.jobs)
+    cluster.replica._pipelines._jobs = counted
+    cluster.end("j-000", "cancelled", 9.0, slim=False)
+    assert sum(job.is_cancelled for job in cluster.replica.jobs.values()) == 1 + 4 * 8
+    assert dependencies < counted.lookups < 10 * dependencies
+
+
+# Guards against `hang` at a node's start, which meets the dependents before the cancelled job.
+def test_load_of_a_cancelled_wide_pipeline_visits_each_job_once() -> None:
+    cluster, dependencies = staged_pipeline(stages=5, width=8, newest_first=True)
+    cluster.end("j-500", "cancelled", 9.0, slim=False)
+    replica = Replica()
+    counted = CountedJobs()
+    replica.jobs = replica._pipelines._jobs = counted
+    replica.load(entries(cluster.records))
+    assert sum(job.is_cancelled for job in counted.values()) == 1 + 4 * 8
+    assert dependencies < counted.lookups < 10 * dependencies
+
+
 def test_dependents_go_on_if_a_cancelled_job_ends_as_done() -> None:
     cluster = Cluster()
     cluster.submit("j-1")
