--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -1,6 +1,5 @@
 """In-memory copy of the scheduler's records in the state service, with indexes."""
 
-import asyncio
 import logging
 import threading
 from collections.abc import Callable
@@ -12,6 +11,7 @@
 from pulleydeal.store import records as r
 from pulleydeal.store.job import Chunk, Job
 from pulleydeal.store.pipelines import Pipelines
+from pulleydeal.store.waiters import RevisionWaiters
 
 log = logging.getLogger("pulleydeal.store")
 TaskId = tuple[str, int]
@@ -52,7 +52,7 @@
         # Feature enabled on this node -> its records by name: (value, version). Records of other
         # features are not kept.
         self._features: dict[str, dict[str, tuple[bytes, int]]] = {}
-        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._waiters = RevisionWaiters()
         self.job_changes = 0  # incremented when a job record changes, and on each reload
         self._clear()
 
@@ -81,6 +81,7 @@
         self.zone_of: dict[str, str] = {}  # machine -> zone
         self.job_changes += 1
         self._pipelines = Pipelines(self.jobs)
+        self._loading = False  # a page is being loaded
         self._affected_jobs: set[str] = set()  # changed by facts or other jobs; to be notified
         self._usage: dict[str, tuple[float, float]] = {}  # team -> cpus, gpus of its bound tasks
         self._rebound_machines: set[str] = set()  # machines with changed bindings; to be notified
@@ -115,15 +116,18 @@
 
     def load(self, items: list[m.Entry]) -> None:
         with self._lock:
+            self._loading = True
             for item in items:
                 self._put(item.key, bytes(item.value), item.version)
+            self._loading = False
 
     def end_load(self, revision: int) -> None:
         with self._lock:
+            self._pipelines.load(self.jobs.values())
             self.revision = revision
             self.loaded = True
         self._notify([("view", ""), ("member", "")])
-        self._wake_waiters()
+        self._waiters.wake(self.revision)
 
     def apply(self, changes: m.Changes) -> None:
         touched = []
@@ -138,7 +142,8 @@
             for key in delivered:
                 del self._deleted[key]
         self._notify([t for t in touched if t is not None])
-        self._wake_waiters()
+        if self.loaded:
+            self._waiters.wake(self.revision)
 
     def apply_commit(self, puts: dict[str, bytes], deletes: list[str], version: int) -> None:
         """Applies this node's own committed transaction before the state service's watch does."""
@@ -259,11 +264,11 @@
         self._add_usage(job, -job.bound)
         job.version = version
         job.record = record
-        if record.spec is None:
-            job.spec = None
-        self._affected_jobs |= self._pipelines.update(job)
-        # With the spec from `update`: chunks may be loaded before the record of their job.
-        self._add_usage(job, job.bound)
+        if record.spec is None or job.spec is None:
+            job.spec = record.spec
+        self._add_usage(job, job.bound)  # chunks may be loaded before the record of their job
+        if not self._loading:  # else `end_load` does it for all jobs at once
+            self._affected_jobs |= self._pipelines.update(job)
         self.job_changes += 1
         facts_before_job = self._facts_before_job.pop(job_id, None)
         if facts_before_job is not None:
@@ -362,22 +367,8 @@
     # --- waiting and notifying ----------------------------------------------------------
     async def wait_for_revision(self, revision: int) -> None:
         """Returns once the replica is at least as new as `revision`."""
-        if self.loaded and self.revision >= revision:
-            return
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiters.append((revision, future))
-        await future
-
-    def _wake_waiters(self) -> None:
-        remaining = []
-        for revision, future in self._waiters:
-            if future.done():
-                continue
-            if self.loaded and self.revision >= revision:
-                future.set_result(None)
-            else:
-                remaining.append((revision, future))
-        self._waiters = remaining
+        if not (self.loaded and self.revision >= revision):
+            await self._waiters.add(revision)
 
     def _notify(self, touched: list[tuple[str, str]]) -> None:
         rebound, self._rebound_machines = self._rebound_machines, set()
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -144,8 +144,7 @@
 # Guards against `hang`: a job was visited once for each way to it, 8^4 ways in 5 stages of 8 jobs.
 def test_cancellation_visits_each_job_of_a_wide_pipeline_once() -> None:
     cluster, dependencies = staged_pipeline(stages=5, width=8)
-    counted = CountedJobs(cluster.replica.jobs)
-    cluster.replica._pipelines._jobs = counted
+    counted = counted_live(cluster)
     cluster.end("j-000", "cancelled", 9.0, slim=False)
     assert sum(job.is_cancelled for job in cluster.replica.jobs.values()) == 1 + 4 * 8
     assert dependencies < counted.lookups < 10 * dependencies
@@ -155,14 +154,79 @@
 def test_load_of_a_cancelled_wide_pipeline_visits_each_job_once() -> None:
     cluster, dependencies = staged_pipeline(stages=5, width=8, newest_first=True)
     cluster.end("j-500", "cancelled", 9.0, slim=False)
+    counted = counted_load(cluster)
+    assert sum(job.is_cancelled for job in counted.values()) == 1 + 4 * 8
+    assert dependencies < counted.lookups < 10 * dependencies
+
+
+def counted_load(cluster: Cluster) -> CountedJobs:
+    """The jobs of a node that starts now, with the look-ups that the load took."""
     replica = Replica()
     counted = CountedJobs()
     replica.jobs = replica._pipelines._jobs = counted
     replica.load(entries(cluster.records))
-    assert sum(job.is_cancelled for job in counted.values()) == 1 + 4 * 8
+    replica.end_load(1)
+    return counted
+
+
+def counted_live(cluster: Cluster) -> CountedJobs:
+    """The jobs of a running node, with the look-ups that changes take from now on."""
+    counted = CountedJobs(cluster.replica.jobs)
+    cluster.replica.jobs = cluster.replica._pipelines._jobs = counted
+    return counted
+
+
+WAITING_ON_ONE = 300
+
+
+def many_waiting_on_one() -> Cluster:
+    cluster = Cluster()
+    cluster.submit("j-0")
+    for i in range(1, WAITING_ON_ONE):
+        cluster.submit(f"j-{i}", "j-0", deadline_s=100.0 + i)
+    return cluster
+
+
+# Guards against `hang`: each dependent that was cancelled had all the others looked at again.
+def test_cancellation_of_a_job_that_many_wait_on_visits_each_once() -> None:
+    cluster = many_waiting_on_one()
+    counted = counted_live(cluster)
+    cluster.end("j-0", "cancelled", 9.0, slim=False)
+    assert all(job.is_cancelled for job in counted.values())
+    assert WAITING_ON_ONE < counted.lookups < 10 * WAITING_ON_ONE
+
+
+# Guards against `hang` at a node's start: each dependent had all the loaded ones looked at again.
+def test_load_of_a_job_that_many_wait_on_visits_each_once() -> None:
+    counted = counted_load(many_waiting_on_one())
+    assert counted["j-0"].due == 91.0  # the earliest deadline less the estimate
+    assert WAITING_ON_ONE < counted.lookups < 10 * WAITING_ON_ONE
+
+
+# Guards against `hang`: a job was computed again for each way from the one whose deadline is new.
+def test_new_deadline_computes_each_job_of_a_dense_pipeline_once() -> None:
+    cluster = Cluster()
+    for i in range(30):
+        names = [f"j-{k}" for k in range(max(0, i - 12), i)]
+        cluster.submit(f"j-{i}", *names, estimate_s=1.0 + i * 7 % 5)
+    counted = counted_live(cluster)
+    cluster.submit("j-30", *(f"j-{k}" for k in range(18, 30)), deadline_s=60.0)
+    assert counted["j-0"].due < counted["j-29"].due < 60.0
+    dependencies = 30 * 12
     assert dependencies < counted.lookups < 10 * dependencies
 
 
+# Guards against `hang` at a node's start: each job had all that it waits on computed again.
+def test_load_of_a_chain_with_ever_earlier_deadlines_computes_each_job_once() -> None:
+    cluster = Cluster()
+    for i in range(100, 300):
+        names = [f"j-{i - 1}"] if i > 100 else []
+        cluster.submit(f"j-{i}", *names, deadline_s=5_000.0 - 20 * i)
+    counted = counted_load(cluster)
+    assert counted["j-100"].due < counted["j-298"].due < counted["j-299"].due
+    assert 200 < counted.lookups < 10 * 200
+
+
 def test_dependents_go_on_if_a_cancelled_job_ends_as_done() -> None:
     cluster = Cluster()
     cluster.submit("j-1")
