--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -28,6 +28,7 @@
 from pulleydeal.workers.partition_policy import PartitionPolicy
 from pulleydeal.workers.reachability import silent_s, without_checkin_s
 from pulleydeal.workers.registration import MachineRegistrar
+from pulleydeal.workers.reported_jobs import ReportedJobs
 from pulleydeal.workers.tracked_machine import (
     AttemptId,
     Plan,
@@ -99,8 +100,7 @@
         self._max_staleness_s = max(
             2.0, (times.cancel_s - times.lease_s) * (1 - c.CLOCK_DRIFT) - c.RENEW_MARGIN_S
         )
-        # Job -> machines whose last report names one of its tasks.
-        self._machines_by_job: dict[str, set[str]] = {}
+        self._reported_jobs = ReportedJobs()
         self._full_round_at = -1e9  # steady time of the last round over all owned machines
         # Called with the id of a machine whose credit may have changed.
         self.on_credit_change: Callable[[str], None] = _ignore
@@ -114,7 +114,7 @@
             if job is not None and (not job.is_open or (job.spec and job.spec.kind == "gang")):
                 for machine in {task.machine for _, task in job.bindings()}:
                     self._mark_changed(machine)
-                for machine in self._machines_by_job.get(name, ()):
+                for machine in self._reported_jobs.machines(name):
                     self._mark_changed(machine)
         elif kind in ("machine", "bound"):
             self._mark_changed(name)
@@ -145,7 +145,7 @@
             if skipped_views:
                 # Another node may have owned them in a view that this node never processed.
                 self.machines.clear()
-                self._machines_by_job.clear()
+                self._reported_jobs.clear()
             for machine, tracked in list(self.machines.items()):
                 if not self._membership.owns(machine, tracked.zone):
                     self._stop_tracking(machine)
@@ -166,7 +166,7 @@
         """
         tracked = self.machines.pop(machine, None)
         if tracked is not None:
-            self._index_report(machine, tracked.attempts, {})
+            self._reported_jobs.update(machine, tracked.attempts, ())
             self.commander.orders.drop(tracked.addr)
             self.on_credit_change(machine)
 
@@ -268,7 +268,7 @@
             status_before = (tracked.trusted, tracked.notice_at is None, self.silent(tracked))
             fresh = apply_report(tracked, report, now, checkin)
             if fresh and before is not tracked.attempts:
-                self._index_report(tracked.id, before, tracked.attempts)
+                self._reported_jobs.update(tracked.id, before, tracked.attempts)
         if not fresh:
             return
         progressed = before is not tracked.attempts and before != tracked.attempts
@@ -282,21 +282,6 @@
         if progressed or status_before != status:
             self.on_credit_change(tracked.id)
 
-    def _index_report(
-        self,
-        machine: str,
-        before: dict[AttemptId, TaskStatus],
-        attempts: dict[AttemptId, TaskStatus],
-    ) -> None:
-        old, new = {job for job, _, _ in before}, {job for job, _, _ in attempts}
-        for job in old - new:
-            machines = self._machines_by_job.get(job, set())
-            machines.discard(machine)
-            if not machines:
-                self._machines_by_job.pop(job, None)
-        for job in new - old:
-            self._machines_by_job.setdefault(job, set()).add(machine)
-
     # --- planning -------------------------------------------------------------------------
     def _is_reconciled(self, tracked: TrackedMachine, now: float) -> bool:
         """Whether planning can be skipped, as the plan would be empty.
@@ -393,7 +378,7 @@
             )
             with self._lock:
                 self.machines[tracked.id] = new
-                self._index_report(tracked.id, tracked.attempts, {})
+                self._reported_jobs.update(tracked.id, tracked.attempts, ())
             tracked = new
         self._apply_report(tracked, report, checkin=False)
         if not tracked.trusted:
