--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,5 +1,6 @@
-"""KNOWN-RED.txt, the list of tests that CI deselects: at most three, each an existing test with the
-command that reproduces its failure, what was seen and an issue."""
+"""KNOWN-RED.txt, the list of tests that CI deselects and of cases that it does not run: at most
+three, each an existing test or script with the command that reproduces its failure, what was seen
+and an issue."""
 
 import runpy
 import subprocess
@@ -33,6 +34,53 @@
         assert read_list(malformed, COLLECTED)[1], malformed
 
 
+def test_a_case_that_ci_does_not_run_is_an_existing_script_run_by_its_command(
+    tmp_path: Path,
+) -> None:
+    for script in ("review/2/run.sh", "experiments/__main__.py", "tests/test_a.py"):
+        (tmp_path / script).parent.mkdir(parents=True, exist_ok=True)
+        (tmp_path / script).touch()
+
+    def read(line: str) -> tuple[list[str], list[str]]:
+        found: tuple[list[str], list[str]] = read_list(line, COLLECTED, tmp_path)
+        return found
+
+    seed, seen = "PYTHONHASHSEED=0", "ends for memory | issue 26"
+    for valid in (
+        f"review/2/run.sh | {seed} bash review/2/run.sh | {seen}",
+        f"experiments/__main__.py | {seed} python -m experiments meetings --seed 7 | {seen}",
+    ):
+        assert read(valid) == ([], []), valid
+    for malformed in (
+        f"review/2/run.sh | bash review/2/run.sh | {seen}",
+        f"review/2/run.sh | {seed} bash review/3/run.sh | {seen}",
+        f"review/2/run.sh | {seed} bash review/2/run.sh | issue 26",
+        f"review/2/run.sh | {seed} bash review/2/run.sh | ends for memory | soon",
+        f"review/3/run.sh | {seed} bash review/3/run.sh | {seen}",
+        f"review/2 | {seed} bash review/2/run.sh | {seen}",
+        f"../review/2/run.sh | {seed} bash ../review/2/run.sh | {seen}",
+        f"tests/../review/2/run.sh | {seed} bash tests/../review/2/run.sh | {seen}",
+        f"tests/test_a.py | {seed} python -m pytest tests/test_a.py | {seen}",
+        f"/bin/run.sh | {seed} bash /bin/run.sh | {seen}",
+    ):
+        tests, errors = read(malformed)
+        assert tests == [] and errors, malformed
+
+
+def test_a_case_is_printed_and_deselects_nothing(tmp_path: Path) -> None:
+    (tmp_path / "tests").mkdir()
+    (tmp_path / "tests" / "test_a.py").write_text("def test_b():\n    pass\n")
+    (tmp_path / "run.sh").touch()
+    case = "run.sh | PYTHONHASHSEED=0 bash run.sh | ends for memory | issue 26"
+    test = f"tests/test_a.py::test_b | {COMMAND} | the lease ends | issue 36"
+    (tmp_path / "KNOWN-RED.txt").write_text(f"{case}\n{test}\n")
+    command = [sys.executable, str(ROOT / ".ci" / "known_red.py")]
+    completed = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, check=False)
+    assert completed.returncode == 0
+    assert completed.stdout.splitlines() == ["--deselect=tests/test_a.py::test_b"]
+    assert completed.stderr.splitlines() == [f"known red: {case}", f"known red: {test}"]
+
+
 def test_an_entry_for_a_missing_test_fails_the_run(tmp_path: Path) -> None:
     (tmp_path / "tests").mkdir()
     (tmp_path / "tests" / "test_a.py").write_text("def test_b():\n    pass\n")
