--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -43,7 +43,10 @@
     def on_report(
         self, tracked: TrackedMachine, report: m.Report, before: KnownState | None
     ) -> None:
-        """Called with the report in an answer; `before`: the state known when it was asked for."""
+        """Called with the report in an answer.
+
+        `before`: the state known when it was asked for; None: the report proves no restart.
+        """
 
     def on_reachability_change(self, machine: str) -> None:
         """Called when the machine starts or stops answering."""
@@ -92,7 +95,10 @@
         self._handler.on_result(order, result)
         self._apply_result(order, result)
         if result.report is not None:
-            self._handler.on_report(order.machine, result.report, before)
+            # No machine answers with a report that contradicts the status, restarted or not: such
+            # a report may be a copy from before the order, so its age does not show a restart.
+            is_valid = result.outcome is not Outcome.NOT_UNDERSTOOD
+            self._handler.on_report(order.machine, result.report, before if is_valid else None)
 
     async def _wait_and_send(self, order: Order) -> tuple[OrderResult, KnownState | None]:
         """Waits for a slot and sends the order; returns its result and the state known before.
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -346,7 +346,7 @@
         if not tracked.trusted:
             # After a takeover, even if an old report arrived: the probe gives the machine the new
             # token and returns a new report.
-            self.commander.probe(tracked)
+            self._probe_untrusted(tracked)
             return
         if not tracked.addr or silent_s(tracked, self._clock.now()) > self._times.lease_s:
             self._plan(tracked)
@@ -382,4 +382,13 @@
             tracked = new
         self._apply_report(tracked, report, checkin=False)
         if not tracked.trusted:
-            self.commander.probe(tracked)  # gives it the new token
+            self._probe_untrusted(tracked)  # gives it the new token
+
+    def _probe_untrusted(self, tracked: TrackedMachine) -> None:
+        """Probes a machine at once, unless its last answer was invalid.
+
+        The answer to a probe leads here again. A machine that answers wrongly was asked hundreds of
+        times a second; `Eviction.run_round` probes it twice a second.
+        """
+        if not tracked.last_answer_invalid:
+            self.commander.probe(tracked)
--- a/tests/test_wrong_answers.py
+++ b/tests/test_wrong_answers.py
@@ -143,10 +143,9 @@
 
 
 def test_a_machine_that_answers_with_an_old_report_is_not_asked_in_a_tight_loop() -> None:
-    """The report's token is below the order's, as from a cache in between. Each such answer is
-    taken for a restart of the machine, which is probed at once: some hundred orders a second, each
-    with a raised fence. The log repeats "invalid answer to an order: status 200 and a report that
-    contradicts it (1 times)". Bound: probed again at once, then only by `Eviction.run_round`.
+    """The report's token is below the order's, as from a cache in between. Each such answer was
+    taken for a restart of the machine, which was probed at once: some hundred orders a second, each
+    with a raised fence. Bound: probed again at once, then only by `Eviction.run_round`.
     """
     stale = json_response(200, msgspec.json.decode(checkin_request("vm-1", 2, token=2 << 24).body))
     target = FixedReply(stale)
@@ -154,6 +153,39 @@
     assert len(target.bodies) <= 2
 
 
+class RisingRefusal:
+    """A machine's address that refuses every order, by newer and newer reports, without a cause."""
+
+    def __init__(self) -> None:
+        self.orders = 0
+
+    async def handle(self, request: Request) -> Response:
+        self.orders += 1
+        report = checkin_request("vm-1", 2 + self.orders, token=2 << 24)
+        return json_response(409, msgspec.json.decode(report.body))
+
+
+# Guards against a tight loop: each answer led to the next probe while the machine is not trusted.
+def test_untrusted_machine_that_contradicts_itself_is_not_asked_in_a_tight_loop() -> None:
+    target = RisingRefusal()
+
+    async def work(_: LoopClock) -> None:
+        on_host(Host("10.1.0.1", "east"), Server(target.handle, 10).start(ADDRESS))
+        await asyncio.sleep(0.1)
+        node = VirtualTimeNode()
+        workers = make_workers(node)
+        node.put(r.machine_key("vm-1"), machine_record("up"))
+        await workers.checkin(checkin_request("vm-1", 1, token=2 << 24))
+        assert not workers.machines["vm-1"].trusted
+        rounds = asyncio.ensure_future(forever("workers", workers.work))
+        await asyncio.sleep(3.0)
+        rounds.cancel()
+        await cancel_other_tasks()
+
+    virtually(lambda clock: on_host(Host("10.0.0.1", "east"), work(clock)))
+    assert target.orders == 1  # later probes come from `Eviction.run_round`, twice a second
+
+
 def test_refused_start_is_forgotten() -> None:
     newer = json_response(
         409, msgspec.json.decode(checkin_request("vm-1", 2, token=(3 << 24) + 5).body)
