The replica's tasks by machine and its merging of facts get modules of their own

Change: store/task_index.py (chunks by machine, usage) and store/fact_merger.py (facts of journaled jobs), moved as they were. Listeners, records and order of work are the same.

--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -5,16 +5,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from pulleydeal import constants as c
 from pulleydeal.store import facts
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
-from pulleydeal.store.job import Chunk, Job
+from pulleydeal.store.fact_merger import FactMerger
+from pulleydeal.store.job import Job
 from pulleydeal.store.pipelines import Pipelines
+from pulleydeal.store.task_index import TaskIndex
 from pulleydeal.store.waiters import RevisionWaiters
 
 log = logging.getLogger("pulleydeal.store")
-TaskId = tuple[str, int]
 
 
 @dataclass(slots=True)
@@ -77,20 +77,16 @@
         self.catalog = r.Catalog()
         self.extra_types: dict[str, r.Catalog] = {}  # more types, under keys of their own
         self.types: dict[str, r.MachineType] = {}
-        self.tasks_by_machine: dict[str, dict[TaskId, r.Task]] = {}
+        self._tasks = TaskIndex()
+        self.tasks_by_machine = self._tasks.by_machine
         self.zone_of: dict[str, str] = {}  # machine -> zone
         self.job_changes += 1
         self._pipelines = Pipelines(self.jobs)
         self._loading = False  # a page is being loaded
         self._affected_jobs: set[str] = set()  # changed by facts or other jobs; to be notified
-        self._usage: dict[str, tuple[float, float]] = {}  # team -> cpus, gpus of its bound tasks
-        self._rebound_machines: set[str] = set()  # machines with changed bindings; to be notified
         # "<process start>/<position in its journal>" -> value
         self.journals: dict[str, JournalValue] = {}
-        # Job -> its facts, while the job is not known: during a load, a journal value may be newer
-        # than the pages with the jobs.
-        self._facts_before_job: dict[str, list[facts.Fact]] = {}
-        self._merged_tasks: dict[str, set[int]] = {}  # job -> tasks merged from several facts
+        self._facts = FactMerger(self.jobs, self._tasks)
         self._versions: dict[str, int] = {}  # key -> version
         # Deleted key -> version of its delete, until the replica's revision has reached it.
         self._deleted: dict[str, int] = {}
@@ -167,9 +163,11 @@
             self._set_job(suffix, r.JOB.decode(value), version)
             return "job", suffix
         if kind == "c":
-            job, _, index = suffix.partition("/")
-            self._set_chunk(job, int(index, 16), r.CHUNK.decode(value), version)
-            return "job", job
+            name, _, index = suffix.partition("/")
+            tasks = r.CHUNK.decode(value)
+            job = self.jobs.setdefault(name, Job(name))
+            self._tasks.set_chunk(job, int(index, 16), tasks, version)
+            return "job", name
         if kind == "l":
             self._set_journal(suffix, facts.FACTS.decode(value), version)
             return "journal", suffix
@@ -217,9 +215,10 @@
         self._deleted[key] = version
         kind, _, suffix = key.removeprefix(r.KEY_PREFIX).partition("/")  # see store/records.py
         if kind == "c":
-            job, _, index = suffix.partition("/")
-            self._drop_chunk(job, int(index, 16))
-            return "job", job
+            name, _, index = suffix.partition("/")
+            if name in self.jobs:
+                self._tasks.drop_chunk(self.jobs[name], int(index, 16))
+            return "job", name
         if kind == "l":
             self.journals.pop(suffix, None)
             return "journal", suffix
@@ -250,119 +249,40 @@
 
     def _set_job(self, job_id: str, record: r.JobRecord, version: int) -> None:
         job = self.jobs.setdefault(job_id, Job(job_id))
-        if record.spec is None:  # retired: only the slim record is left
-            for index in list(job.chunks):
-                self._drop_chunk(job_id, index)
-            self.jobs_with_spec.discard(job_id)
-            self._merged_tasks.pop(job_id, None)
-        else:
+        if record.spec is not None:
             self.jobs_with_spec.add(job_id)
+        else:
+            self._forget_tasks(job)
         if record.spec is not None and record.state == "cancelled":
             self.cancelled_jobs.add(job_id)
         else:
             self.cancelled_jobs.discard(job_id)
-        self._add_usage(job, -job.bound)
+        self._tasks.add_usage(job, -job.bound)
         job.version = version
         job.record = record
         if record.spec is None or job.spec is None:
             job.spec = record.spec
-        self._add_usage(job, job.bound)  # chunks may be loaded before the record of their job
+        self._tasks.add_usage(job, job.bound)  # chunks may be loaded before the record of their job
         if not self._loading:  # else `end_load` does it for all jobs at once
             self._affected_jobs |= self._pipelines.update(job)
         self.job_changes += 1
-        facts_before_job = self._facts_before_job.pop(job_id, None)
-        if facts_before_job is not None:
-            self._merge(facts_before_job)
+        if record.spec is not None:
+            self._affected_jobs |= self._facts.merge_before_job(job_id)
 
-    def _add_usage(self, job: Job, tasks: int) -> None:
-        spec = job.spec
-        if spec is not None and tasks:
-            cpus, gpus = self._usage.get(spec.team, (0.0, 0.0))
-            self._usage[spec.team] = (cpus + tasks * spec.cpus, gpus + tasks * spec.gpus)
+    def _forget_tasks(self, job: Job) -> None:
+        """Drops the tasks of a retired job, of which only the slim record is left."""
+        for chunk_index in list(job.chunks):
+            self._tasks.drop_chunk(job, chunk_index)
+        self.jobs_with_spec.discard(job.id)
+        self._facts.forget(job.id)
 
     def _set_journal(self, name: str, new_facts: list[facts.Fact], version: int) -> None:
         self.journals[name] = JournalValue(version, new_facts)
-        self._merge(new_facts)
-
-    def _merge(self, new_facts: list[facts.Fact]) -> None:
-        """Merges facts into task states. Order and repetition do not matter (store/facts.py)."""
-        changed: dict[tuple[str, int], list[r.Task]] = {}
-        for fact in new_facts:
-            job = self.jobs.get(fact.job)
-            if job is None or job.record is None:
-                self._facts_before_job.setdefault(fact.job, []).append(fact)
-                continue
-            if job.record.spec is None:
-                continue  # retired
-            k, offset = divmod(fact.index, c.CHUNK_TASKS)
-            tasks = changed.get((fact.job, k))
-            if tasks is None:
-                tasks = changed[(fact.job, k)] = self._copy_tasks(job, job.record.tasks, k)
-            if offset < len(tasks):
-                known = tasks[offset]
-                tasks[offset] = facts.merge_tasks(known, fact.task)
-                self._track_merged(fact, known, tasks[offset])
-        for (job_id, k), tasks in changed.items():
-            self._set_chunk(job_id, k, tasks, 0)  # 0: not a stored chunk
-            self._affected_jobs.add(job_id)
-
-    def _track_merged(self, fact: facts.Fact, known: r.Task, merged: r.Task) -> None:
-        if merged == fact.task:
-            self._merged_tasks.get(fact.job, set()).discard(fact.index)
-        elif merged != known:
-            self._merged_tasks.setdefault(fact.job, set()).add(fact.index)
+        self._affected_jobs |= self._facts.merge(new_facts)
 
     def is_merged(self, job: str, index: int) -> bool:
         """Whether the state of a journaled job's task was merged from several facts."""
-        return index in self._merged_tasks.get(job, ())
-
-    def _copy_tasks(self, job: Job, count: int, k: int) -> list[r.Task]:
-        """A copy of a chunk's tasks, or tasks in their initial state if it is not stored yet."""
-        chunk = job.chunks.get(k)
-        if chunk is not None:
-            return list(chunk.tasks)
-        return [r.Task()] * min(c.CHUNK_TASKS, max(0, count - k * c.CHUNK_TASKS))
-
-    def _set_chunk(self, job_id: str, chunk_index: int, tasks: list[r.Task], version: int) -> None:
-        """Reindexes only the tasks that changed: most writes of a chunk change one or two."""
-        job = self.jobs.setdefault(job_id, Job(job_id))
-        old = job.chunks.get(chunk_index)
-        before = old.tasks if old is not None else [r.Task()] * len(tasks)
-        waiting = 0
-        for offset, task in enumerate(tasks):
-            waiting += not task.machine and not task.done
-            previous = before[offset]
-            if previous == task:
-                continue
-            task_index = chunk_index * c.CHUNK_TASKS + offset
-            self._unindex(job, task_index, previous)
-            job.done += task.done
-            if not task.done:
-                job.last_stop_reason = task.stop or task.why or job.last_stop_reason
-            if task.machine:
-                job.bound_tasks[task_index] = task
-                self.tasks_by_machine.setdefault(task.machine, {})[(job_id, task_index)] = task
-                self._rebound_machines.add(task.machine)
-                self._add_usage(job, 1)
-        job.chunks[chunk_index] = Chunk(version, tasks, waiting)
-
-    def _drop_chunk(self, job_id: str, chunk_index: int) -> None:
-        job = self.jobs.get(job_id)
-        chunk = job.chunks.pop(chunk_index, None) if job is not None else None
-        if job is not None and chunk is not None:
-            for offset, task in enumerate(chunk.tasks):
-                self._unindex(job, chunk_index * c.CHUNK_TASKS + offset, task)
-
-    def _unindex(self, job: Job, task_index: int, task: r.Task) -> None:
-        job.done -= task.done
-        if task.machine:
-            self._rebound_machines.add(task.machine)
-            del job.bound_tasks[task_index]
-            self._add_usage(job, -1)
-            on_machine = self.tasks_by_machine[task.machine]
-            del on_machine[(job.id, task_index)]
-            if not on_machine:
-                del self.tasks_by_machine[task.machine]
+        return self._facts.is_merged(job, index)
 
     # --- waiting and notifying ----------------------------------------------------------
     async def wait_for_revision(self, revision: int) -> None:
@@ -371,7 +291,7 @@
             await self._waiters.add(revision)
 
     def _notify(self, touched: list[tuple[str, str]]) -> None:
-        rebound, self._rebound_machines = self._rebound_machines, set()
+        rebound = self._tasks.take_rebound_machines()
         affected, self._affected_jobs = self._affected_jobs, set()
         touched = list(dict.fromkeys([*touched, *(("job", job) for job in sorted(affected))]))
         touched += [("bound", machine) for machine in rebound]
@@ -387,4 +307,4 @@
 
         Updated as bindings change, since the cost of recounting grew with the number of tasks.
         """
-        return self._usage
+        return self._tasks.usage
