Jobs that are over take a few bytes of a node each, not 900

Cause: a retired job (over, all tasks gone, slim record) was kept like an open one. Traced, 20,000 jobs: Job and its place 181 B, its two empty dictionaries 128, the record with two times 128, the key of its version 62, the id 58, the version's place 21: 578 B, 914 B of the process. A load also held all pages at once.

Change: the final state of each retired job by id in compressed bitmaps (pyroaring), ids of over nine digits as sorted numbers, others as strings; no version of it (a slim record is the last one, so late records are dropped without it; VERSION_NOT_KEPT is never sent as a condition). The records of the 1,000 that ended or were asked for last are kept, others are read for the count of a poll, bounded and shared. A load takes in page after page. One module (store/jobs.py) owns both forms. Stored keys and records are unchanged.

Why it works: what is dropped is final and stored; states, the only thing that answers, conditions and pipelines need, are exact for any id. End times of old jobs that open ones wait on are held during a load only.

tests/test_pipelines.py: CountedJobs counts the look-ups of the new class as it did those of the dictionary; the bounds and assertions are the same.

--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -30,8 +30,6 @@
 USABLE_CHANGE_SHARE = 0.9  # share of CHANGE_LIMIT_PER_S that nodes use; see `WRITE_SHARE`
 REQUEST_LIMIT_PER_S = 200.0
 WATCH_HISTORY_CHANGES = 10_000
-# --- figures published in other pages of docs/ ---
-BYTES_PER_FINISHED_JOB = 878.0  # docs/ROADMAP.md: one million jobs take 878 MB
 
 
 @dataclass(frozen=True)
@@ -54,6 +52,12 @@
     return rows
 
 
+def history_rows(folder: Path = RESULTS_DIR) -> list[dict[str, Any]]:
+    """Returns the stored result rows of `experiments history`, by number of jobs."""
+    rows: list[dict[str, Any]] = json.loads((folder / "history.json").read_text())["rows"]
+    return rows
+
+
 def _sweep(rows: list[dict[str, Any]], name: str) -> list[dict[str, Any]]:
     return [row for row in rows if row["sweep"] == name]
 
@@ -78,7 +82,7 @@
         _requests(workers, raised),
         _cores(workers, raised),
         _memory(workers),
-        _history(),
+        _history(history_rows()),
         _watch(raised),
         _load(workers),
         _members(members),
@@ -183,16 +187,20 @@
     )
 
 
-def _history() -> CapacityRow:
-    figure = CELL_JOBS_PER_DAY * BYTES_PER_FINISHED_JOB / 1e6
+def _history(rows: list[dict[str, Any]]) -> CapacityRow:
+    most = rows[-1]
+    bytes_per_job = most["B a job"]
+    figure = CELL_JOBS_PER_DAY * bytes_per_job / 1e6
     return CapacityRow(
         "each controller process",
         "memory for jobs that are over",
-        f"{BYTES_PER_FINISHED_JOB:.0f} B x {CELL_JOBS_PER_DAY:,} a day = {figure:.0f} MB a day",
-        "none stated",
-        "published: ROADMAP.md",
+        f"{bytes_per_job:.1f} B x {CELL_JOBS_PER_DAY:,} a day = {figure:.2f} MB a day;"
+        f" {most['MB above empty at peak']:.0f} MB at the peak of a load",
+        "30 MB a million",
+        f"measured: {most['jobs over']:,} jobs over",
         "grows with days, not workers",
-        "**missing**: packed history (issue 26)",
+        "exists: final states in bitmaps. **Missing**: packed records, for the time of a load"
+        f" ({most['s until it serves']:.0f} s of a million; issue 26)",
     )
 
 
--- a/experiments/memory.py
+++ b/experiments/memory.py
@@ -41,7 +41,10 @@
 
 
 def replica_rows() -> list[dict[str, Any]]:
-    """Measures the bytes that the replica keeps per machine, job and task."""
+    """Measures the bytes that the replica keeps per machine, job and task.
+
+    Jobs that are over are measured by `history`: traces do not show the memory of bitmaps.
+    """
     wall = 1e9
     bodies = list(held_jobs(ScaleSize(workers=ITEMS, tasks_per_worker=c.CHUNK_TASKS)).values())
     machine = r.MachineRecord("up", "h64", "east", False, "10.1.0.1:9000", wall)
@@ -71,13 +74,6 @@
             replica,
         )
         / c.CHUNK_TASKS,
-        "a job that is over": _replica_bytes(
-            [
-                _entry(r.job_key(f"j-{5_000_000 + i}"), r.JobRecord("done", 8, wall), 4)
-                for i in range(ITEMS)
-            ],
-            replica,
-        ),
     }
     return [{"kept for": item, "bytes": round(size)} for item, size in found.items()]
 
--- a/experiments/processes.py
+++ b/experiments/processes.py
@@ -14,7 +14,16 @@
 
 def memory_mb(pid: int) -> float:
     """Resident memory; 0 if the kernel does not report it."""
+    return _status_mb(pid, "VmRSS:")
+
+
+def peak_memory_mb(pid: int) -> float:
+    """The most memory that was ever resident; 0 if the kernel does not report it."""
+    return _status_mb(pid, "VmHWM:")
+
+
+def _status_mb(pid: int, name: str) -> float:
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith(name):
             return int(line.split()[1]) / 1024
     return 0.0
--- a/pulleydeal/operators/service.py
+++ b/pulleydeal/operators/service.py
@@ -13,12 +13,19 @@
 from pulleydeal.features.settings import Features
 from pulleydeal.http import Request, Response, Server, json_response
 from pulleydeal.operators import constants as oc
+from pulleydeal.store import records as r
 from pulleydeal.store.job import Job
 from pulleydeal.store.reasons import reason_text
 from pulleydeal.submissions.messages import as_submission
 
 log = logging.getLogger("pulleydeal.operators")
 STATES = ("open", "done", "cancelled", "all")
+_RETIRED_STATES: dict[str, tuple[r.Status, ...]] = {
+    "open": (),
+    "done": ("done",),
+    "cancelled": ("cancelled",),
+    "all": ("done", "cancelled"),
+}
 
 
 class Operators:
@@ -116,8 +123,13 @@
         self._require_replica()
         state = request.choice_param("state", STATES, "open")
         jobs = self._replica.jobs
-        candidates = self._replica.jobs_with_spec if state == "open" else jobs
-        names = (n for n in candidates if state == "all" or _status(jobs[n]) == state)
+        in_full = (
+            job.id
+            for job in jobs.in_full()
+            if job.record is not None and state in ("all", _status(job))
+        )
+        retired = jobs.retired.ids_after(request.query.get("after", ""), _RETIRED_STATES[state])
+        names = itertools.chain(in_full, itertools.islice(retired, fc.MAX_PAGE_SIZE + 1))
         return paginate(request, names, lambda name: _summary(jobs[name]))
 
     async def _job(self, request: RoutedRequest) -> Any:
@@ -125,6 +137,7 @@
         job = self._replica.jobs.get(request.params["job"])
         if job is None or job.record is None:
             raise ApiError(404, "no_such_job", f"no job {request.params['job']!r} is known here")
+        job = await self._service.store.with_stored_record(job)
         tasks = [
             {"task": index, "machine": task.machine, "attempt": task.attempt}
             for index, task in sorted(job.bindings())[: fc.MAX_PAGE_SIZE]
@@ -183,7 +196,8 @@
 
 def _summary(job: Job) -> dict[str, Any]:
     assert job.record is not None
-    summary = {"job": job.id, "state": _status(job), "tasks": job.record.tasks}
+    tasks = job.record.tasks if job.is_record_kept else None
+    summary = {"job": job.id, "state": _status(job), "tasks": tasks}
     if job.spec is not None:
         summary |= {"class": job.spec.klass, "team": job.spec.team, "kind": job.spec.kind}
         summary |= {"done": job.done, "running": job.bound}
--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -73,6 +73,7 @@
     def __init__(self, address: str, clock: Clock, limits: StateLimits, nodes: int) -> None:
         self._http = Client(address, clock)
         self._request_rate = TokenBucket(limits.rps / nodes, clock)
+        self._read_rate = TokenBucket(limits.rps / nodes * c.SINGLE_READS_SHARE, clock)
         self._write_rps = limits.write_rps * c.WRITE_SHARE
         announced = limits.next.write_rps if limits.next is not None else None
         self._announced_write_rps = (announced or limits.write_rps) * c.WRITE_SHARE
@@ -146,6 +147,21 @@
             )
         self._write_rate.set(max(share, available))
 
+    async def read(self, key: str) -> bytes | None:
+        """The encoded value of a key, or None if the key is absent.
+
+        Raises Unavailable above a small share of the request rate, so that reads for users never
+        delay other requests.
+        """
+        if self._read_rate.take(1, urgent=False) > 0:
+            raise Unavailable(f"GET {key}: too many single reads")
+        status, reply = await self._call("GET", f"/store/{key}")
+        if status == 404:
+            return None
+        if status != 200:
+            raise Unavailable(f"GET {key}: {status}")
+        return bytes(_decode_reply(m.ENTRY, reply).value)
+
     async def revision(self) -> int:
         _, reply = await self._call("GET", f"/store/{REVISION_PROBE_KEY}")
         return _decode_reply(m.REVISION, reply).revision
--- a/pulleydeal/store/fact_merger.py
+++ b/pulleydeal/store/fact_merger.py
@@ -1,18 +1,17 @@
 """Merges facts into the tasks of journaled jobs. Order and repetition do not matter (facts.py)."""
 
-from collections.abc import Mapping
-
 from pulleydeal import constants as c
 from pulleydeal.store import facts
 from pulleydeal.store import records as r
 from pulleydeal.store.job import Job
+from pulleydeal.store.jobs import Jobs
 from pulleydeal.store.task_index import TaskIndex
 
 
 class FactMerger:
     """Merges facts as they are read, also those read before the record of their job."""
 
-    def __init__(self, jobs: Mapping[str, Job], tasks: TaskIndex) -> None:
+    def __init__(self, jobs: Jobs, tasks: TaskIndex) -> None:
         self._jobs = jobs
         self._tasks = tasks
         # Job -> its facts, while the job is not known: during a load, a journal value may be newer
--- a/pulleydeal/store/job.py
+++ b/pulleydeal/store/job.py
@@ -6,6 +6,8 @@
 from pulleydeal import constants as c
 from pulleydeal.store import records as r
 
+# The version of a retired job's record, which is not kept: no condition of a commit can use it.
+VERSION_NOT_KEPT = -1
 NO_BLOCKERS: MutableSet[str] = set()  # shared by all jobs without dependencies; never modified
 
 
@@ -40,6 +42,8 @@
     waiting_since: float = 0.0  # wall clock: accepted and last dependency done
     priority: int = 0
     due: float = float("inf")  # wall clock: latest end for its own and its dependents' deadlines
+    # Whether `record` is the stored one. That of a retired job may have only its state right.
+    is_record_kept: bool = True
 
     @property
     def status(self) -> str:
--- a/pulleydeal/store/messages.py
+++ b/pulleydeal/store/messages.py
@@ -43,6 +43,7 @@
     lease: int = msgspec.field(name="charter")
 
 
+ENTRY = msgspec.json.Decoder(Entry)
 PAGE = msgspec.json.Decoder(Page)
 CHANGES = msgspec.json.Decoder(Changes)
 REVISION = msgspec.json.Decoder(Revision)
--- a/pulleydeal/store/pipelines.py
+++ b/pulleydeal/store/pipelines.py
@@ -7,7 +7,7 @@
 them is final too.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from graphlib import TopologicalSorter
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
@@ -27,7 +27,7 @@
 class Pipelines:
     """Maintains the derived fields of jobs that depend on each other."""
 
-    def __init__(self, jobs: dict[str, Job]) -> None:
+    def __init__(self, jobs: Mapping[str, Job]) -> None:
         self._jobs = jobs
         self._dependents: dict[str, set[str]] = {}  # job -> open jobs that wait on it
         # Linked job -> length of the longest chain of dependencies below it; 0 if absent.
--- a/pulleydeal/store/records.py
+++ b/pulleydeal/store/records.py
@@ -28,6 +28,7 @@
 KEY_PREFIX = "p/"
 VIEW_KEY = "p/view"
 CATALOG_KEY = "p/catalog"
+JOB_PREFIX = "p/j/"
 JOURNAL_PREFIX = "p/l/"
 FEATURE_NAME = r"^[A-Za-z0-9._-]{1,40}(/[A-Za-z0-9._-]{1,60}){0,4}$"  # keys are limited to 200 B
 REVISION_PROBE_KEY = "p-nothing"  # never written; reading it returns only the revision
@@ -173,7 +174,12 @@
 
 
 def job_key(job: str) -> str:
-    return f"p/j/{job}"
+    return f"{JOB_PREFIX}{job}"
+
+
+def job_of(key: str) -> str | None:
+    """The job whose record has this key; None for the key of any other record."""
+    return key.removeprefix(JOB_PREFIX) if key.startswith(JOB_PREFIX) else None
 
 
 def chunk_key(job: str, index: int) -> str:
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -9,8 +9,10 @@
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
 from pulleydeal.store.fact_merger import FactMerger
-from pulleydeal.store.job import Job
+from pulleydeal.store.job import VERSION_NOT_KEPT, Job
+from pulleydeal.store.jobs import Jobs
 from pulleydeal.store.pipelines import Pipelines
+from pulleydeal.store.retired_jobs import RetiredJobs
 from pulleydeal.store.task_index import TaskIndex
 from pulleydeal.store.waiters import RevisionWaiters
 
@@ -56,10 +58,10 @@
         self.job_changes = 0  # incremented when a job record changes, and on each reload
         self._clear()
 
-    def _clear(self) -> None:
+    def _clear(self, retired: RetiredJobs | None = None) -> None:
         self.revision = 0
         self.loaded = False
-        self.jobs: dict[str, Job] = {}
+        self.jobs = Jobs(retired)
         # Jobs that are not retired, whatever their status: their records still have the spec.
         self.jobs_with_spec: set[str] = set()
         # Cancelled jobs among those: some of their tasks may not be proved gone.
@@ -99,16 +101,23 @@
         return self._features.setdefault(feature, {})
 
     def version(self, key: str) -> int:
-        """The version for a commit's condition on this key; 0 if the key is absent."""
+        """The version for a commit's condition on this key; 0 if the key is absent.
+
+        VERSION_NOT_KEPT for the record of a retired job: no commit with that is sent.
+        """
+        job_id = r.job_of(key)
+        if job_id is not None and job_id in self.jobs.retired:
+            return VERSION_NOT_KEPT
         return self._versions.get(key, 0)
 
     def add_listener(self, listener: Listener) -> None:
         self._listeners.append(listener)
 
     # --- changes ------------------------------------------------------------------------
-    def begin_load(self) -> None:
+    def begin_load(self, retired: RetiredJobs | None = None) -> None:
+        """Drops everything. `retired`: the jobs that have been read already (store/snapshot.py)."""
         with self._lock:
-            self._clear()
+            self._clear(retired)
 
     def load(self, items: list[m.Entry]) -> None:
         with self._lock:
@@ -119,7 +128,8 @@
 
     def end_load(self, revision: int) -> None:
         with self._lock:
-            self._pipelines.load(self.jobs.values())
+            self._pipelines.load(self.jobs.in_full())
+            self.jobs.retired.end_load()
             self.revision = revision
             self.loaded = True
         self._notify([("view", ""), ("member", "")])
@@ -157,16 +167,17 @@
         # A key deleted by this node must not reappear while the watch catches up.
         if version <= max(self._versions.get(key, 0), self._deleted.get(key, 0)):
             return None
-        self._versions[key] = version
         kind, _, suffix = key.removeprefix(r.KEY_PREFIX).partition("/")  # see store/records.py
+        if kind in ("j", "c") and suffix.partition("/")[0] in self.jobs.retired:
+            return None  # late: a slim record is the last one of its job, and it has no chunks
+        self._versions[key] = version
         if kind == "j":
             self._set_job(suffix, r.JOB.decode(value), version)
             return "job", suffix
         if kind == "c":
             name, _, index = suffix.partition("/")
             tasks = r.CHUNK.decode(value)
-            job = self.jobs.setdefault(name, Job(name))
-            self._tasks.set_chunk(job, int(index, 16), tasks, version)
+            self._tasks.set_chunk(self.jobs.get_or_add(name), int(index, 16), tasks, version)
             return "job", name
         if kind == "l":
             self._set_journal(suffix, facts.FACTS.decode(value), version)
@@ -216,8 +227,9 @@
         kind, _, suffix = key.removeprefix(r.KEY_PREFIX).partition("/")  # see store/records.py
         if kind == "c":
             name, _, index = suffix.partition("/")
-            if name in self.jobs:
-                self._tasks.drop_chunk(self.jobs[name], int(index, 16))
+            job = self.jobs.get(name)
+            if job is not None:
+                self._tasks.drop_chunk(job, int(index, 16))
             return "job", name
         if kind == "l":
             self.journals.pop(suffix, None)
@@ -248,7 +260,7 @@
         return "catalog", ""
 
     def _set_job(self, job_id: str, record: r.JobRecord, version: int) -> None:
-        job = self.jobs.setdefault(job_id, Job(job_id))
+        job = self.jobs.get_or_add(job_id)
         if record.spec is not None:
             self.jobs_with_spec.add(job_id)
         else:
@@ -268,11 +280,15 @@
         self.job_changes += 1
         if record.spec is not None:
             self._affected_jobs |= self._facts.merge_before_job(job_id)
+        else:
+            self._versions.pop(r.job_key(job_id), None)
+            self.jobs.retire(job, self._loading)
 
     def _forget_tasks(self, job: Job) -> None:
         """Drops the tasks of a retired job, of which only the slim record is left."""
         for chunk_index in list(job.chunks):
             self._tasks.drop_chunk(job, chunk_index)
+            self._versions.pop(r.chunk_key(job.id, chunk_index), None)
         self.jobs_with_spec.discard(job.id)
         self._facts.forget(job.id)
 
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -22,9 +22,12 @@
     Unavailable,
 )
 from pulleydeal.store.draft import Draft
+from pulleydeal.store.job import VERSION_NOT_KEPT, Job
 from pulleydeal.store.limits import Limits, TooLarge
 from pulleydeal.store.rate import WritePriority
 from pulleydeal.store.replica import Replica
+from pulleydeal.store.retired_records import RetiredRecords
+from pulleydeal.store.snapshot import Snapshot
 
 log = logging.getLogger("pulleydeal.store")
 
@@ -86,6 +89,7 @@
         self._pending_changes: dict[str, list[Change]] = {}
         self._drain_tasks: dict[tuple[str, bool], asyncio.Task[None]] = {}
         self.journal: FactWriter | None = None
+        self._retired_records = RetiredRecords(client, replica)
 
     def should_journal(self, spec: r.JobSpec) -> bool:
         """Whether a job that is accepted now is to be journaled."""
@@ -126,13 +130,13 @@
         page = await self.client.page(r.KEY_PREFIX, None)
         # The watch replays events after the first page's revision; versions resolve the overlap.
         first_revision = page.revision
-        pages = [page]
+        snapshot = Snapshot()
+        snapshot.add(page)
         while page.more:
             page = await self.client.page(r.KEY_PREFIX, page.items[-1].key)
-            pages.append(page)
-        self.replica.begin_load()
-        for page in pages:
-            self.replica.load(page.items)
+            snapshot.add(page)
+        self.replica.begin_load(snapshot.retired)
+        self.replica.load(snapshot.entries)
         self.replica.end_load(first_revision)
         self._mark_current(requested_at)
         log.info("replica loaded at revision %d, %d jobs", first_revision, len(self.replica.jobs))
@@ -158,6 +162,13 @@
         self._pending_read = None  # later callers need a new read
         return self._clock.now(), await self.client.revision()
 
+    async def with_stored_record(self, job: Job) -> Job:
+        """The job, with its stored record if that is missing and can be read at once."""
+        if job.is_record_kept:
+            return job
+        await self._retired_records.read(job.id)
+        return self.replica.jobs.get(job.id, job)
+
     # --- committing ---------------------------------------------------------------------
     async def commit(
         self,
@@ -175,6 +186,9 @@
         for a transaction that exceeds the limits. `priority` is None if the caller has already
         been admitted.
         """
+        for key, version in conditions.items():
+            if version == VERSION_NOT_KEPT:
+                raise RequestRejected(f"{key}: a retired job is never changed")
         encoded = {key: msgspec.json.encode(value) for key, value in puts.items()}
         self.limits.check(conditions, encoded, deletes or [])
         leases = lease or {}
--- a/pulleydeal/submissions/service.py
+++ b/pulleydeal/submissions/service.py
@@ -258,6 +258,8 @@
         # could exceed the time within which users must get an answer.
         if self._cancel_unconfirmed(job) and not self._membership.all_support(c.FORMAT_FRESHNESS):
             return json_response(503, {"error": "its cancellation is under way"}, c.RETRY_AFTER_S)
+        if job.status == "done":
+            job = await self._store.with_stored_record(job)
         return self._state_answer(200, self._state(job), logging.DEBUG)
 
     def _state_answer(self, status: int, state: m.State, level: int) -> Response:
@@ -292,7 +294,7 @@
     def _state(self, job: Job) -> m.State:
         assert job.record is not None
         if job.record.state == "done":
-            return m.State(job.id, "done", job.record.tasks, 0)
+            return m.State(job.id, "done", job.record.tasks if job.is_record_kept else None, 0)
         if job.is_cancelled and not self._cancel_unconfirmed(job):
             return m.State(job.id, "cancelled", job.done, 0)
         state = "running" if job.bound else "queued"
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -9,6 +9,7 @@
 from pulleydeal.store import messages as m
 from pulleydeal.store import records as r
 from pulleydeal.store.job import Job
+from pulleydeal.store.jobs import Jobs
 from pulleydeal.store.replica import Replica
 
 
@@ -111,18 +112,14 @@
     assert sum(job.is_cancelled for job in reloaded.jobs.values()) == 401
 
 
-class CountedJobs(dict[str, Job]):
+class CountedJobs(Jobs):
     """The jobs of a replica; counts look-ups, each of which is one step of a walk."""
 
     lookups = 0
 
-    def __getitem__(self, name: str) -> Job:
+    def _find(self, name: str) -> Job | None:
         self.lookups += 1
-        return super().__getitem__(name)
-
-    def get(self, name: str, default: Job | None = None) -> Job | None:  # type: ignore[override]
-        self.lookups += 1
-        return super().get(name, default)
+        return super()._find(name)
 
 
 def staged_pipeline(stages: int, width: int, newest_first: bool = False) -> tuple[Cluster, int]:
@@ -155,7 +152,7 @@
     cluster, dependencies = staged_pipeline(stages=5, width=8, newest_first=True)
     cluster.end("j-500", "cancelled", 9.0, slim=False)
     counted = counted_load(cluster)
-    assert sum(job.is_cancelled for job in counted.values()) == 1 + 4 * 8
+    assert sum(job.is_cancelled for job in counted.in_full()) == 1 + 4 * 8
     assert dependencies < counted.lookups < 10 * dependencies
 
 
@@ -171,7 +168,9 @@
 
 def counted_live(cluster: Cluster) -> CountedJobs:
     """The jobs of a running node, with the look-ups that changes take from now on."""
-    counted = CountedJobs(cluster.replica.jobs)
+    counted = CountedJobs()
+    for job in cluster.replica.jobs.in_full():
+        counted._in_full[job.id] = job
     cluster.replica.jobs = cluster.replica._pipelines._jobs = counted
     return counted
 
@@ -192,7 +191,7 @@
     cluster = many_waiting_on_one()
     counted = counted_live(cluster)
     cluster.end("j-0", "cancelled", 9.0, slim=False)
-    assert all(job.is_cancelled for job in counted.values())
+    assert all(job.is_cancelled for job in counted.in_full())
     assert WAITING_ON_ONE < counted.lookups < 10 * WAITING_ON_ONE
 
 
