Facts of a job that never comes are dropped

Cause: facts read before the record of their job waited for it for as long as the node ran.

Change: they wait until the replica has the revision of the newest such value. A job's record is durable before any fact about its tasks, so it would be known by then.

Measured: test_facts_of_a_job_that_never_comes_are_dropped fails before (20 facts of 20 jobs kept), passes now; the tests of journals pass.

--- a/pulleydeal/store/fact_merger.py
+++ b/pulleydeal/store/fact_merger.py
@@ -17,19 +17,21 @@
         # Job -> its facts, while the job is not known: during a load, a journal value may be newer
         # than the pages with the jobs.
         self._before_job: dict[str, list[facts.Fact]] = {}
+        self._before_job_version = 0  # of the newest value with such facts
         self._merged: dict[str, set[int]] = {}  # job -> tasks merged from several facts
 
     def is_merged(self, job_id: str, index: int) -> bool:
         """Whether the state of a journaled job's task was merged from several facts."""
         return index in self._merged.get(job_id, ())
 
-    def merge(self, new_facts: list[facts.Fact]) -> set[str]:
+    def merge(self, new_facts: list[facts.Fact], version: int) -> set[str]:
         """Merges the facts of a journal value. Returns the jobs whose tasks changed."""
         changed: dict[tuple[str, int], list[r.Task]] = {}
         for fact in new_facts:
             job = self._jobs.get(fact.job)
             if job is None or job.record is None:
                 self._before_job.setdefault(fact.job, []).append(fact)
+                self._before_job_version = max(version, self._before_job_version)
                 continue
             if job.record.spec is None:
                 continue  # retired
@@ -47,7 +49,15 @@
 
     def merge_before_job(self, job_id: str) -> set[str]:
         """Merges the facts that were read before the job. Returns the job if its tasks changed."""
-        return self.merge(self._before_job.pop(job_id, []))
+        return self.merge(self._before_job.pop(job_id, []), 0)
+
+    def drop_before(self, revision: int) -> None:
+        """Drops facts whose job is still unknown in a replica of this revision.
+
+        A job's record is durable before any fact about its tasks, so there is no such job.
+        """
+        if self._before_job and revision >= self._before_job_version:
+            self._before_job.clear()
 
     def forget(self, job_id: str) -> None:
         """Drops what is known of a retired job."""
--- a/pulleydeal/store/replica.py
+++ b/pulleydeal/store/replica.py
@@ -147,6 +147,7 @@
             delivered = [k for k, version in self._deleted.items() if version <= self.revision]
             for key in delivered:
                 del self._deleted[key]
+            self._facts.drop_before(self.revision)
         self._notify([t for t in touched if t is not None])
         if self.loaded:
             self._waiters.wake(self.revision)
@@ -294,7 +295,7 @@
 
     def _set_journal(self, name: str, new_facts: list[facts.Fact], version: int) -> None:
         self.journals[name] = JournalValue(version, new_facts)
-        self._affected_jobs |= self._facts.merge(new_facts)
+        self._affected_jobs |= self._facts.merge(new_facts, version)
 
     def is_merged(self, job: str, index: int) -> bool:
         """Whether the state of a journaled job's task was merged from several facts."""
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -138,6 +138,22 @@
     assert replica.usage() == {"t": (1.0, 1.0)}
 
 
+# Guards against memory that grows for ever: facts of jobs that never were stayed in every node.
+def test_facts_of_a_job_that_never_comes_are_dropped() -> None:
+    replica = Replica()
+    replica.end_load(5)
+    for version in range(6, 26):
+        put(
+            replica,
+            version,
+            {f"p/l/n.1/{version:08x}": [Fact(f"j-{version}", 0, r.Task("vm-1", 1))]},
+        )
+        replica.apply(m.Changes(version, []))
+    assert not replica._facts._before_job and len(replica.journals) == 20
+    put(replica, 26, {r.job_key("j-1"): r.JobRecord("journal-open", 1, 1.0, SPEC)})
+    assert not replica.tasks_by_machine
+
+
 def test_late_facts_of_an_ended_job_restore_no_bindings() -> None:
     replica = replica_with_job(r.Task("", 1, True))
     put(replica, 3, {r.job_key("j-1"): r.JobRecord("done", 1, 1.0)})
