Attempts of a machine are forgotten some time after their end

Cause: TrackedMachine.seen kept every attempt that a machine ever reported, and killed_at every kill, for as long as the node owned the machine: months for an ordinary machine, some 200 B an attempt.

Change: attempts are kept for 10 to 20 minutes after they were last reported or bound (workers/seen_attempts.py), kills for as long as they are not repeated.

Why it is safe: `seen` is asked of bound attempts only, and what is bound or reported is never forgotten. After the end it matters only where an older copy of the stored state still shows the binding, as after a load.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -95,6 +95,7 @@
 UNSEEN_KEEP_S = 120.0  # machines behind a cut are kept for this long: cuts last under a minute
 UNREACHED_S = 4.0  # orders unanswered for this long: starts never sent go elsewhere; > one order
 MACHINE_SWEEP_S = 1.0  # how often a node checks all its machines, even without a change
+SEEN_ATTEMPT_KEPT_S = 600.0  # much longer than a load, after which older bindings may show
 KILL_REPEAT_S = 2.0  # a kill without visible effect is sent again after this
 # Time, besides save_s, from the latest stop of a task to the reclaim of its spot machine. Tasks
 # without checkpoints, which need not save, get half of it.
--- a/pulleydeal/workers/commander.py
+++ b/pulleydeal/workers/commander.py
@@ -16,7 +16,8 @@
 from pulleydeal.workers.incarnation import KnownState
 from pulleydeal.workers.orders import Orders
 from pulleydeal.workers.outcomes import OrderResult, Outcome
-from pulleydeal.workers.tracked_machine import AttemptId, TrackedMachine
+from pulleydeal.workers.seen_attempts import AttemptId
+from pulleydeal.workers.tracked_machine import TrackedMachine
 
 log = logging.getLogger("pulleydeal.workers")
 
--- a/pulleydeal/workers/commands.py
+++ b/pulleydeal/workers/commands.py
@@ -10,7 +10,8 @@
 from enum import StrEnum
 from typing import Any
 
-from pulleydeal.workers.tracked_machine import AttemptId, TrackedMachine
+from pulleydeal.workers.seen_attempts import AttemptId
+from pulleydeal.workers.tracked_machine import TrackedMachine
 
 
 @dataclass(frozen=True, slots=True)
--- a/pulleydeal/workers/exits.py
+++ b/pulleydeal/workers/exits.py
@@ -14,7 +14,8 @@
 from pulleydeal.store.service import Store
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.changes import apply_exit
-from pulleydeal.workers.tracked_machine import AttemptId, Exit, TrackedMachine
+from pulleydeal.workers.seen_attempts import AttemptId
+from pulleydeal.workers.tracked_machine import Exit, TrackedMachine
 
 
 class ExitRecorder:
--- a/pulleydeal/workers/reported_jobs.py
+++ b/pulleydeal/workers/reported_jobs.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from pulleydeal.workers.tracked_machine import AttemptId
+from pulleydeal.workers.seen_attempts import AttemptId
 
 
 class ReportedJobs:
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -29,8 +29,8 @@
 from pulleydeal.workers.reachability import silent_s, without_checkin_s
 from pulleydeal.workers.registration import MachineRegistrar
 from pulleydeal.workers.reported_jobs import ReportedJobs
+from pulleydeal.workers.seen_attempts import AttemptId
 from pulleydeal.workers.tracked_machine import (
-    AttemptId,
     Plan,
     SentStart,
     TaskStatus,
--- a/pulleydeal/workers/task_log.py
+++ b/pulleydeal/workers/task_log.py
@@ -2,7 +2,8 @@
 
 import logging
 
-from pulleydeal.workers.tracked_machine import AttemptId, TaskStatus, TrackedMachine
+from pulleydeal.workers.seen_attempts import AttemptId
+from pulleydeal.workers.tracked_machine import TaskStatus, TrackedMachine
 
 log = logging.getLogger("pulleydeal.workers")
 
--- a/pulleydeal/workers/tracked_machine.py
+++ b/pulleydeal/workers/tracked_machine.py
@@ -13,9 +13,9 @@
 from pulleydeal import constants as c
 from pulleydeal.store.records import JobSpec, Task
 from pulleydeal.workers import messages as m
+from pulleydeal.workers.seen_attempts import AttemptId, SeenAttempts
 
 TaskId = tuple[str, int]
-AttemptId = tuple[str, int, int]  # job, index, attempt
 
 
 @dataclass(slots=True)
@@ -100,7 +100,7 @@
     # Task -> its attempt that has not exited.
     live_attempts: dict[TaskId, AttemptId] = field(default_factory=dict)
     sent: dict[AttemptId, SentStart] = field(default_factory=dict)
-    seen: set[AttemptId] = field(default_factory=set)  # attempts that it has reported
+    seen: SeenAttempts = field(default_factory=SeenAttempts)  # attempts that it has reported
     # (attempt, whether it was given time to save) -> when the last kill was planned
     killed_at: dict[tuple[AttemptId, bool], float] = field(default_factory=dict)
     errors: list[tuple[float, AttemptId]] = field(default_factory=list)  # failures and their times
@@ -245,6 +245,8 @@
     no other node can have renewed it. `ending`: attempts whose exit is decided and being written.
     """
     plan = Plan()
+    if s.seen.is_round_due(now):
+        _forget_old(s, desired, now)
     s.reconciled = False  # an empty plan without trust or after the lease does not predict the next
     if lease_over(s, now, lease_s):
         if not no_peer_renewed():
@@ -276,6 +278,12 @@
     return plan
 
 
+def _forget_old(s: TrackedMachine, desired: dict[TaskId, DesiredTask], now: float) -> None:
+    bound = [(job, index, target.task.attempt) for (job, index), target in desired.items()]
+    s.seen.forget_old([*s.attempts, *bound], now)
+    s.killed_at = {kill: at for kill, at in s.killed_at.items() if now - at < c.KILL_REPEAT_S}
+
+
 def _reconcile_task(
     s: TrackedMachine,
     attempt_id: AttemptId,
