Hashes of jobs and machines that are over are not kept

Cause: views._weight kept its last 131,072 results, three of each job and of each machine that a node ever asked about. Filled with 43,690 jobs it takes 34.7 MB (measured, some 720 B a job): with the 32 MB of an empty node most of the 82 MB that a lean deployment allows.

Change: no cache of hashes. Membership keeps the owner of each machine that has a record, for the present view; Placement already keeps which open jobs it leads. Both end with what they are about.

Why it works: a hash is asked for once a job, machine and view; 7 us uncached for three members, 1.4 us cached.

Measured: test_leaders_and_owners_of_what_is_over_are_not_kept fails before (1,843 B a job and machine kept, 16 allowed), passes now; test_owner_follows_the_view passes on both.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -61,9 +61,6 @@
 HEARD_NOW_S = 1.5  # three heartbeats: a sibling heard within this time is heard now
 RELAYED_CANCELS = 500  # cancelled jobs named in a heartbeat: bounds its size
 NEVER_COMPLETE = (1 << 64) - 1  # a revision that no replica reaches: the heartbeat proves nothing
-# Cached rendezvous hashes of some 200 B each, one per member and machine or open job. At 16,384
-# those of 4,800 machines and 4,200 jobs evicted each other, which cost 25 ms per change of jobs.
-HASH_CACHE_SIZE = 131_072
 FORMAT = 3  # record format that this version can read and keep; announced durably
 FORMAT_WAITS = 1  # since this format: jobs that wait on others
 FORMAT_FEATURES = 2  # since this format: a node announces its enabled features
--- a/pulleydeal/membership/service.py
+++ b/pulleydeal/membership/service.py
@@ -60,6 +60,9 @@
         # Jobs that heartbeats named as cancelled and that the replica does not show as over yet.
         # A cancellation is final, so what a sibling said stays true after that sibling restarts.
         self._relayed_cancellations: set[str] = set()
+        # Machine -> its zone, and its owner in the view, which is replaced and never changed.
+        self._owners: dict[str, tuple[str, str]] = {}
+        self._owners_view: r.View | None = None
         self._reported_epochs: dict[str, int] = {}  # sibling -> newest epoch in its heartbeats
         # Epoch of the last view that was examined, and whether this node was a member in it.
         self._examined_view: tuple[int, bool] = (0, False)
@@ -85,7 +88,16 @@
         return self._incarnation_checked and self.view.members.get(self.me) == self.incarnation
 
     def owner(self, machine: str, zone: str) -> str:
-        return views.owner(self.view, machine, zone)
+        """The member that owns a machine. Cached for the machines that have a record."""
+        if self._owners_view is not self.view:
+            self._owners, self._owners_view = {}, self.view
+        known_zone, known_owner = self._owners.get(machine, ("", ""))
+        if known_owner and known_zone == zone:
+            return known_owner
+        owner = views.owner(self.view, machine, zone)
+        if machine in self._replica.machines:
+            self._owners[machine] = (zone, owner)
+        return owner
 
     def owns(self, machine: str, zone: str) -> bool:
         return self.is_member and self.owner(machine, zone) == self.me
@@ -173,7 +185,9 @@
             self._member_since_epoch, self._reported_epochs, others
         )
 
-    def _on_change(self, kind: str, _name: str) -> None:
+    def _on_change(self, kind: str, name: str) -> None:
+        if kind == "machine" and name not in self._replica.machines:
+            self._owners.pop(name, None)
         if kind != "view":
             return
         epoch, was_member = self._examined_view
--- a/pulleydeal/membership/view.py
+++ b/pulleydeal/membership/view.py
@@ -1,7 +1,6 @@
 """Pure functions on the view: who owns and leads what, and how the view changes."""
 
 import hashlib
-from functools import lru_cache
 
 import msgspec
 
@@ -9,7 +8,6 @@
 from pulleydeal.store.records import View
 
 
-@lru_cache(maxsize=c.HASH_CACHE_SIZE)
 def _weight(member: str, subject: str) -> bytes:
     return hashlib.blake2b(f"{member}\0{subject}".encode(), digest_size=8).digest()
 
--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -1,7 +1,16 @@
 """What a node keeps of machines, attempts and jobs ends some time after they do."""
 
+import random
+import tracemalloc
+from typing import Any
+
+import msgspec
+
 from pulleydeal import constants as c
+from pulleydeal.membership.service import Membership
+from pulleydeal.store import messages as sm
 from pulleydeal.store import records as r
+from pulleydeal.store.replica import Replica
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.tracked_machine import (
     DesiredTask,
@@ -61,3 +70,78 @@
         machine.report(float(at))
         reconcile(machine.tracked, {}, float(at), LEASE_S)
     assert not machine.plan(float(at), bound_attempt=7).runs
+
+
+class Around:
+    """What a membership needs of the node around it."""
+
+    node_name = "winch-0"
+    teams: dict[str, Any] = {}  # noqa: RUF012
+
+    def __init__(self) -> None:
+        self.replica = Replica()
+        self.replica.loaded = True
+        me: Any = self
+        self.membership = Membership(me, me, me, me, random.Random(1))
+        self.membership._incarnation_checked = True
+        members = {"winch-0": self.membership.incarnation, "winch-1": "x", "winch-2": "y"}
+        self.version = 0
+        self.apply(put={r.VIEW_KEY: r.View(1, members)})
+
+    def on(self, kind: object, handler: object) -> None:
+        return
+
+    def apply(self, put: dict[str, object] | None = None, delete: str | None = None) -> None:
+        self.version += 1
+        events = [
+            sm.Event(self.version, key, None, msgspec.Raw(msgspec.json.encode(value)))
+            for key, value in (put or {}).items()
+        ]
+        events += [sm.Event(self.version, None, delete)] if delete else []
+        self.replica.apply(sm.Changes(self.version, events))
+
+
+# Guards against `ended_for_memory`: a cache of hashes kept 720 B of each of 43,000 jobs and
+# machines that were over, 35 MB of every node.
+def test_leaders_and_owners_of_what_is_over_are_not_kept() -> None:
+    around = Around()
+    membership = around.membership
+
+    def work(first: int, count: int) -> int:
+        led = 0
+        for i in range(first, first + count):
+            spec = msgspec.structs.replace(SPEC, id=f"j-{i:06d}")
+            led += membership.leads_job(spec) and membership.leads_job(spec)
+            machine = f"vm-{i:06d}"
+            around.apply(put={r.machine_key(machine): r.MachineRecord("up", "t4", "east", False)})
+            owners = {membership.owner(machine, "east") for _ in range(2)}
+            assert len(owners) == 1
+            membership.owner(f"unknown-{i}", "east")
+            around.apply(delete=r.machine_key(machine))
+        return led
+
+    assert 0 < work(0, 50) < 50
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        work(50, 1_000)
+        kept = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert kept < 16 * 1_000
+
+
+def test_owner_follows_the_view() -> None:
+    around = Around()
+    machines = [f"vm-{i:03d}" for i in range(60)]
+    for machine in machines:
+        around.apply(put={r.machine_key(machine): r.MachineRecord("up", "t4", "east", False)})
+    before = {x: around.membership.owner(x, "east") for x in machines}
+    assert before == {x: around.membership.owner(x, "east") for x in machines}
+    assert set(before.values()) == {"winch-0", "winch-1", "winch-2"}
+    members = {name: x for name, x in around.replica.view.members.items() if name != "winch-1"}
+    around.apply(put={r.VIEW_KEY: r.View(2, members, [("winch-2", "west")])})
+    after = {x: around.membership.owner(x, "east") for x in machines}
+    assert set(after.values()) == {"winch-0", "winch-2"}
+    assert all(after[x] == owner for x, owner in before.items() if owner != "winch-1")
+    assert {around.membership.owner(x, "west") for x in machines} == {"winch-0"}
