A stop that waits to be written is not asked for again

What callers saw: nothing yet; memory of a node that grows for as long as the state service does not take writes.

Cause: Eviction.stop queued a change each time it was called, and rounds of 0.5 s call it for each task that is to stop until the stop shows in the replica. In an outage each call left a change and its future in the queue.

Change: one change an attempt until it is written or given up.

Measured: test_stop_is_asked_for_once_until_it_is_written_or_given_up fails before (200 changes wait for 2 tasks), passes now.

--- a/pulleydeal/workers/eviction.py
+++ b/pulleydeal/workers/eviction.py
@@ -24,6 +24,7 @@
     silent_too_long,
     unreachable_zones,
 )
+from pulleydeal.workers.seen_attempts import AttemptId
 from pulleydeal.workers.tracked_machine import FailureCause, TrackedMachine, is_sick
 
 log = logging.getLogger("pulleydeal.workers")
@@ -59,6 +60,7 @@
         self._partition_policy = partition_policy
         # zone -> when it was last silent; updated by `silent_too_long`
         self._zone_silent_at: dict[str, float] = {}
+        self._stopping: set[AttemptId] = set()  # stops that are being written
 
     def unreachable_zones(self) -> set[str]:
         """Zones that are currently unreachable, as seen by this node and its peers."""
@@ -166,8 +168,13 @@
 
     def stop(self, job_id: str, index: int, attempt: int, why: str) -> None:
         """Requests a graceful stop of a task, or of its whole gang; the reason is stored."""
-        self._store.change_job(
+        attempt_id = (job_id, index, attempt)
+        if attempt_id in self._stopping:
+            return  # each round asks again, also while nothing can be written
+        self._stopping.add(attempt_id)
+        future = self._store.change_job(
             job_id,
             partial(apply_stop, index=index, attempt=attempt, why=why),
             priority=WritePriority.NORMAL,
         )
+        future.add_done_callback(lambda _: self._stopping.discard(attempt_id))
--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -1,5 +1,6 @@
 """What a node keeps of machines, attempts and jobs ends some time after they do."""
 
+import asyncio
 import random
 import tracemalloc
 from typing import Any
@@ -12,6 +13,8 @@
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Replica
 from pulleydeal.workers import messages as m
+from pulleydeal.workers.eviction import Eviction
+from pulleydeal.workers.partition_policy import PartitionPolicy
 from pulleydeal.workers.tracked_machine import (
     DesiredTask,
     Plan,
@@ -145,3 +148,38 @@
     assert set(after.values()) == {"winch-0", "winch-2"}
     assert all(after[x] == owner for x, owner in before.items() if owner != "winch-1")
     assert {around.membership.owner(x, "west") for x in machines} == {"winch-0"}
+
+
+class StoreWithoutService:
+    """Keeps every change that is asked for, as in an outage of the state service."""
+
+    def __init__(self) -> None:
+        self.replica = Replica()
+        self.pending: list[asyncio.Future[bool]] = []
+
+    def change_job(self, job: str, mutate: object, priority: object) -> "asyncio.Future[bool]":
+        self.pending.append(asyncio.get_running_loop().create_future())
+        return self.pending[-1]
+
+
+# Guards against `ended_for_memory` in an outage: each round asked again for the stops that were
+# not written yet, and each of these changes waited with its own future.
+def test_stop_is_asked_for_once_until_it_is_written_or_given_up() -> None:
+    async def run() -> None:
+        store = StoreWithoutService()
+        anything: Any = store
+        eviction = Eviction(
+            anything, anything, anything, anything, {}, anything, PartitionPolicy(), set()
+        )
+        for _ in range(100):
+            eviction.stop("j-1", 0, 4, "a drain")
+            eviction.stop("j-1", 1, 4, "a drain")
+        assert len(store.pending) == 2
+        store.pending[0].set_result(False)  # given up: asked for again
+        await asyncio.sleep(0)
+        for _ in range(100):
+            eviction.stop("j-1", 0, 4, "a drain")
+        eviction.stop("j-1", 0, 5, "a drain")
+        assert len(store.pending) == 4
+
+    asyncio.run(run())
