Machines that a job avoids no longer are forgotten while it is open

Cause: FailureBackoff kept each machine on which a job ever failed until the job was over, though it avoids one for 45 s only.

Change: the round that drops data of jobs that are over drops these too.

Measured: the new test of tests/test_bounded_memory.py fails before (499 machines kept, 2 allowed), passes now. tests/test_waiting_turns.py calls retain_jobs with the time; its assertions are the same.

--- a/pulleydeal/placement/failures.py
+++ b/pulleydeal/placement/failures.py
@@ -44,8 +44,13 @@
         )
         return sorted(machine for _, machine in by_recency[: c.AVOID_MOST])
 
-    def retain_jobs(self, open_jobs: Container[str]) -> None:
-        self._avoided = {job: value for job, value in self._avoided.items() if job in open_jobs}
+    def retain_jobs(self, open_jobs: Container[str], now: float) -> None:
+        """Drops what concerns other jobs, and machines that are avoided no longer."""
+        self._avoided = {
+            job: {machine: until for machine, until in machines.items() if until > now}
+            for job, machines in self._avoided.items()
+            if job in open_jobs
+        }
         self._backoff = {key: value for key, value in self._backoff.items() if key[0] in open_jobs}
         self._last_machine = {
             key: value for key, value in self._last_machine.items() if key[0] in open_jobs
--- a/pulleydeal/placement/service.py
+++ b/pulleydeal/placement/service.py
@@ -194,7 +194,7 @@
             return
         self._pruned_at = now
         open_jobs = self._replica.jobs_with_spec
-        self._failures.retain_jobs(open_jobs)
+        self._failures.retain_jobs(open_jobs, now)
         self._granted_at = {job: v for job, v in self._granted_at.items() if job in open_jobs}
         self._chosen_zone = {job: v for job, v in self._chosen_zone.items() if job in open_jobs}
         self._leads_cache = {job: v for job, v in self._leads_cache.items() if job in open_jobs}
--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -9,6 +9,7 @@
 
 from pulleydeal import constants as c
 from pulleydeal.membership.service import Membership
+from pulleydeal.placement.failures import FailureBackoff
 from pulleydeal.store import messages as sm
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Replica
@@ -91,9 +92,14 @@
         self.version = 0
         self.apply(put={r.VIEW_KEY: r.View(1, members)})
 
+    me = node_name
+
     def on(self, kind: object, handler: object) -> None:
         return
 
+    def now(self) -> float:
+        return 0.0
+
     def apply(self, put: dict[str, object] | None = None, delete: str | None = None) -> None:
         self.version += 1
         events = [
@@ -183,3 +189,17 @@
         assert len(store.pending) == 4
 
     asyncio.run(run())
+
+
+# Guards against growth while a job stays open: a service that fails again and again is avoided by
+# its job on each machine that was ever rented for it.
+def test_machines_avoided_no_longer_are_forgotten_while_their_job_is_open() -> None:
+    backoff = FailureBackoff()
+    key = ("j-1", 0)
+    for failures in range(1, 500):
+        now = failures * c.AVOID_S
+        backoff.record_machine(key, f"vm-{failures}")
+        backoff.may_retry(key, failures, now)
+        backoff.retain_jobs({"j-1"}, now)
+        assert backoff.avoided_machines("j-1", now) == [f"vm-{failures}"]
+    assert len(backoff._avoided["j-1"]) <= 2
--- a/tests/test_waiting_turns.py
+++ b/tests/test_waiting_turns.py
@@ -26,7 +26,7 @@
         and backoff.avoided_machines("j-2", 54.0) == []
     )
     assert backoff.avoided_machines("j-1", 56.0) == []
-    backoff.retain_jobs({"j-2"})
+    backoff.retain_jobs({"j-2"}, 20.0)
     assert backoff.avoided_machines("j-1", 20.0) == []
 
 
