Images of machines that went during a load are forgotten

What callers saw: nothing yet; growth of a node that loads anew again and again.

Cause: the images of a machine were dropped with the event of its deletion, and a load reports no deletions of single machines.

Change: with each new view, which a load reports too, what is known of machines without a record is dropped.

Measured: the new test of tests/test_bounded_memory.py fails before (50 machines kept after 50 loads with one machine each), passes now.

--- a/pulleydeal/credits/images.py
+++ b/pulleydeal/credits/images.py
@@ -51,6 +51,11 @@
     def forget(self, machine: str) -> None:
         self._images.pop(machine, None)
 
+    def _forget_gone(self) -> None:
+        """Forgets machines without a record: a load reports no changes of single machines."""
+        known = self._replica.machines
+        self._images = {machine: held for machine, held in self._images.items() if machine in known}
+
     def _evict(self, machine: str) -> None:
         """Drops the least recently bound images beyond the cache size of the machine's type."""
         images = self._images[machine]
@@ -65,6 +70,7 @@
         Such a member knows only the bindings that still exist. A node that is itself new in
         this view sends nothing.
         """
+        self._forget_gone()
         members = dict(self._replica.view.members)
         if self._known_members.get(self._membership.me) == members.get(self._membership.me):
             at = self._clock.now() + c.IMAGES_SEND_DELAY_S
--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from pulleydeal import constants as c
+from pulleydeal.credits.images import ImageLocations
 from pulleydeal.membership.service import Membership
 from pulleydeal.placement.failures import FailureBackoff
 from pulleydeal.store import messages as sm
@@ -203,3 +204,23 @@
         backoff.retain_jobs({"j-1"}, now)
         assert backoff.avoided_machines("j-1", now) == [f"vm-{failures}"]
     assert len(backoff._avoided["j-1"]) <= 2
+
+
+# Guards against growth by loads, which report no deletions of single machines.
+def test_images_of_machines_that_went_during_a_load_are_forgotten() -> None:
+    around = Around()
+    anything: Any = around
+    images = ImageLocations(anything, anything, around.replica, anything, lambda _: None)
+    for round_ in range(50):
+        machine = f"vm-{round_}"
+        entry = sm.Entry(
+            r.machine_key(machine),
+            msgspec.Raw(msgspec.json.encode(r.MachineRecord("up", "t4", "east", False))),
+            round_ + 1,
+        )
+        around.replica.begin_load()
+        around.replica.load([entry])
+        around.replica.end_load(round_ + 1)
+        images.schedule_syncs()
+        images.record_bindings(machine)
+    assert list(images._images) == ["vm-49"]
