Classes without recent jobs are forgotten

What callers saw: nothing yet; growth by names that users choose.

Cause: the fleet's leader kept a class for ever once a job had named it, empty from two minutes after its last job on.

Change: classes without jobs go when the jobs are counted.

Measured: the new test of tests/test_bounded_memory.py fails before (100 empty classes kept), passes now.

--- a/pulleydeal/fleet/service.py
+++ b/pulleydeal/fleet/service.py
@@ -183,6 +183,8 @@
                 found += plan.headroom_jobs(
                     sorted(arrived.values(), key=lambda x: x[0]), wall, boot_s
                 )
+        # Users name the classes of their jobs.
+        self._recent_jobs = {klass: jobs for klass, jobs in self._recent_jobs.items() if jobs}
         return found
 
     async def _request_rental(self, name: str) -> None:
--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -24,6 +24,7 @@
     apply_report,
     reconcile,
 )
+from tests.test_rentals import FakeNode
 from tests.test_station import LEASE_S, SPEC
 
 
@@ -224,3 +225,16 @@
         images.schedule_syncs()
         images.record_bindings(machine)
     assert list(images._images) == ["vm-49"]
+
+
+# Guards against growth by names: users name the classes of their jobs.
+def test_classes_without_recent_jobs_are_forgotten() -> None:
+    async def run() -> None:
+        fleet = FakeNode().fleet
+        long_ago = fleet._clock.wall() - 2 * c.ARRIVALS_S
+        fleet._recent_jobs = {f"class-{i}": {"j-1": (long_ago, SPEC)} for i in range(100)}
+        fleet._recent_jobs["now"] = {"j-2": (fleet._clock.wall(), SPEC)}
+        fleet._headroom(20.0)
+        assert list(fleet._recent_jobs) == ["now"]
+
+    asyncio.run(run())
