Roll-outs keep no records that are gone or never were

What callers saw: nothing yet (the feature is off by default); growth by names.

Cause: the cache of decoded records kept one entry for each service that a consumer ever asked for, also if it never was, and each old version's description after its record was deleted.

Change: absent records are not cached, and each round drops entries whose record is gone.

Measured: test_records_that_are_gone_or_never_were_are_not_kept fails before, passes now.

--- a/pulleydeal/rollouts/service.py
+++ b/pulleydeal/rollouts/service.py
@@ -65,6 +65,9 @@
     def _decode(self, name: str, type_: type[T]) -> T | None:
         """A record, decoded once per stored version. Shared: callers must not modify it."""
         record_version = self.records.version(name)
+        if not record_version:
+            self._decode_cache.pop(name, None)
+            return None
         cached = self._decode_cache.get(name)
         if cached is None or cached[0] != record_version:
             cached = (record_version, self.records.get(name, type_))
@@ -100,6 +103,11 @@
             # Some node is older or has the feature off, and might become a leader: start nothing.
             self.monitors.clear()
             return
+        self._decode_cache = {
+            name: cached
+            for name, cached in self._decode_cache.items()
+            if self.records.version(name)
+        }
         now = self.clock.now()
         led = {name for name in self.names() if self.records.leads(name)}
         for name in [name for name in self.monitors if name not in led]:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -420,3 +420,17 @@
     service = st.Service(rollouts=3)
     entry = st.history_entry(1.0, service, "x" * 900, "y" * 9000, ["z" * 900] * 50)
     assert len(msgspec.json.encode(entry)) < 1500 and entry.evidence[-1] == "and 42 more"
+
+
+# Guards against growth by names: consumers ask for services that never were, and old versions go.
+def test_records_that_are_gone_or_never_were_are_not_kept() -> None:
+    app = node()
+    rollouts: Any = app.features[0]
+    for i in range(20):
+        assert rollouts.service(f"nobody-{i}") is None
+        name = st.version_record_name("web", i)
+        put(app, r.feature_key("rollouts", name), st.Version(parse(toml(GOOD))), 100 + 2 * i)
+        assert rollouts.version("web", i) is not None
+        app.replica.apply_commit({}, [r.feature_key("rollouts", name)], 101 + 2 * i)
+    asyncio.run(rollouts.tick())
+    assert not rollouts._decode_cache
