One metric label for ends with an unknown reason

What callers saw: nothing yet; growth by names that machines choose.

Cause: the counter of ended attempts took the machine's own text as its label where PROTOCOL has no such reason, and a counter never drops a label.

Measured: test_metric_of_ends_has_one_label_for_all_unknown_outcomes fails before (51 labels), passes now.

--- a/pulleydeal/workers/exits.py
+++ b/pulleydeal/workers/exits.py
@@ -17,6 +17,15 @@
 from pulleydeal.workers.seen_attempts import AttemptId
 from pulleydeal.workers.tracked_machine import Exit, TrackedMachine
 
+# Outcomes of PROTOCOL's reasons, and those that owners infer. A metric never drops a label.
+OUTCOMES = frozenset({"done", "error", "saved", "stopped", "lost", "refused", "peers", "alone"})
+OTHER_OUTCOME = "other"
+
+
+def outcome_label(outcome: str) -> str:
+    """The label for an outcome, which may be any text that a machine gave as its reason."""
+    return outcome if outcome in OUTCOMES else OTHER_OUTCOME
+
 
 class ExitRecorder:
     """Queues the durable writes of task exits.
@@ -62,7 +71,7 @@
                 seq=tracked.seq,
             )
         )
-        self._metrics.attempt_ends.labels(task_exit.outcome).inc()
+        self._metrics.attempt_ends.labels(outcome_label(task_exit.outcome)).inc()
         future = self._store.change_job(
             task_exit.job,
             partial(self._apply_if_proved, tracked, task_exit),
--- a/tests/test_bounded_memory.py
+++ b/tests/test_bounded_memory.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import tracemalloc
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
@@ -10,15 +11,18 @@
 from pulleydeal import constants as c
 from pulleydeal.credits.images import ImageLocations
 from pulleydeal.membership.service import Membership
+from pulleydeal.metrics import Metrics
 from pulleydeal.placement.failures import FailureBackoff
 from pulleydeal.store import messages as sm
 from pulleydeal.store import records as r
 from pulleydeal.store.replica import Replica
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.eviction import Eviction
+from pulleydeal.workers.exits import ExitRecorder
 from pulleydeal.workers.partition_policy import PartitionPolicy
 from pulleydeal.workers.tracked_machine import (
     DesiredTask,
+    Exit,
     Plan,
     TrackedMachine,
     apply_report,
@@ -238,3 +242,27 @@
         assert list(fleet._recent_jobs) == ["now"]
 
     asyncio.run(run())
+
+
+# Guards against growth by names: a machine may give any text as the reason of an exit.
+def test_metric_of_ends_has_one_label_for_all_unknown_outcomes() -> None:
+    store = StoreWithoutService()
+    anything: Any = store
+    metrics = Metrics()
+    decisions: Any = SimpleNamespace(write=lambda _: None)
+    tracked = TrackedMachine("vm-1", "t4", "east", False, 0.0, 0, set())
+
+    async def run() -> None:
+        exits = ExitRecorder(anything, anything, anything, metrics, decisions, {}, lambda _: None)
+        for i in range(50):
+            exits.record(tracked, Exit("j-1", i, 1, "vm-1", f"reason {i}", "a test"))
+        exits.record(tracked, Exit("j-1", 50, 1, "vm-1", "done", ""))
+
+    asyncio.run(run())
+    counted = {
+        sample.labels["outcome"]: sample.value
+        for metric in metrics.attempt_ends.collect()
+        for sample in metric.samples
+        if sample.name.endswith("_total")
+    }
+    assert counted == {"other": 50.0, "done": 1.0}
