A load goes on with the page that was refused, within its share of requests

Cause: pages took a node's whole share, with a burst and an overdraft at the start (300 requests for 200 allowed); the first 429 threw the load away and it began with the first page, again and again.

Why it works: pages are reads in the order of keys, so a later page is as good as an earlier one; what changes meanwhile comes with the watch, and a watch that can't resume begins the load anew as before.

--- a/pulleydeal/store/client.py
+++ b/pulleydeal/store/client.py
@@ -73,6 +73,7 @@
     def __init__(self, address: str, clock: Clock, limits: StateLimits, nodes: int) -> None:
         self._http = Client(address, clock)
         self._request_rate = TokenBucket(limits.rps / nodes, clock)
+        self._page_rate = TokenBucket(limits.rps / nodes * c.PAGES_SHARE, clock)
         self._read_rate = TokenBucket(limits.rps / nodes * c.SINGLE_READS_SHARE, clock)
         self._write_rps = limits.write_rps * c.WRITE_SHARE
         announced = limits.next.write_rps if limits.next is not None else None
@@ -170,6 +171,8 @@
         path = f"/store?under={prefix}&limit={c.PAGE_LIMIT}"
         if after is not None:
             path += f"&after={after}"
+        while (pause := self._page_rate.take(1, urgent=False)) > 0:
+            await asyncio.sleep(pause)
         status, reply = await self._call("GET", path)
         if status != 200:
             raise Unavailable(f"GET {path}: {status}")
--- a/pulleydeal/store/service.py
+++ b/pulleydeal/store/service.py
@@ -127,13 +127,13 @@
 
     async def _load(self) -> None:
         requested_at = self._clock.now()
-        page = await self.client.page(r.KEY_PREFIX, None)
+        page = await self._page(None)
         # The watch replays events after the first page's revision; versions resolve the overlap.
         first_revision = page.revision
         snapshot = Snapshot()
         snapshot.add(page)
         while page.more:
-            page = await self.client.page(r.KEY_PREFIX, page.items[-1].key)
+            page = await self._page(page.items[-1].key)
             snapshot.add(page)
         self.replica.begin_load(snapshot.retired)
         self.replica.load(snapshot.entries)
@@ -141,6 +141,16 @@
         self._mark_current(requested_at)
         log.info("replica loaded at revision %d, %d jobs", first_revision, len(self.replica.jobs))
 
+    async def _page(self, after: str | None) -> m.Page:
+        """Reads a page until it is answered: a load that began anew each time might never end."""
+        backoff = Backoff(self._rng)
+        while True:
+            try:
+                return await self.client.page(r.KEY_PREFIX, after)
+            except (Unavailable, OutcomeUnknown) as error:
+                log.debug("load: %s", error)
+                await backoff.pause()
+
     async def ensure_fresh(self) -> None:
         """Returns once the replica is at least as new as this call; raises Unavailable.
 
