A clear is sent under a token above that of every start sent to its machine

What callers saw: a task ran on two machines at once (`ran_twice`).

Cause: an answer proves that an order was executed, not that no copy of it is left. Only unanswered orders raised the token; an answered start counted as settled, and its attempt was cleared under the token that the copy carries. After a clear the attempt is unknown to the worker. A check in one path and not in another: the right of the copy was still valid.

Change: the highest token under which an order with a start was sent is kept for each machine; an answer with a clear carries a higher one, which the worker holds before it executes the clear. No request or round trip more; never while an order is in flight, so no order is refused or withdrawn for it. Starts in answers to check-ins need none (PROTOCOL: never executed late). Decisions now log `start_token`, and `pulleydeal_tokens_raised` counts raises by cause: the logs kept could not tell under which token a cleared attempt had been started.

Stand-ins: `late_orders SHARE [next|reboot]` lets copies of answered orders arrive once more.

--- a/pulleydeal/decisions.py
+++ b/pulleydeal/decisions.py
@@ -1,10 +1,10 @@
 """The decision log: one structured line for each start, stop, clear, end, binding and answer.
 
 A line names who decided (node, incarnation, epoch), on what state (revision and age of the
-replica, session and report of the machine), the fencing token that was sent, the time spent
-waiting, and why the action was allowed or refused. `run.py timeline` merges the lines of all
-nodes. Lines have level `info`, except answers to polls, which have `debug` because users poll
-every 5 s.
+replica, session and report of the machine), the fencing token that was sent and the highest one
+of earlier starts, the time spent waiting, and why the action was allowed or refused.
+`run.py timeline` merges the lines of all nodes. Lines have level `info`, except answers to polls,
+which have `debug` because users poll every 5 s.
 """
 
 import logging
@@ -20,7 +20,7 @@
 
 LINE = (
     "decision %s %s task=%s attempt=%d machine=%s node=%s incarnation=%s epoch=%d token=%d "
-    "session=%d seq=%d revision=%d age_s=%.3f waited_s=%.3f at=%.3f why=%s"
+    "session=%d seq=%d start_token=%d revision=%d age_s=%.3f waited_s=%.3f at=%.3f why=%s"
 )
 
 
@@ -38,7 +38,8 @@
 class Decision:
     """One decision, with its context.
 
-    `task` is `JOB/INDEX` or a job id. `token`, `session` and `seq` are zero if no command is sent.
+    `task` is `JOB/INDEX` or a job id. `token`, `session`, `seq` and `start_token` are zero if no
+    command is sent.
     """
 
     action: Action
@@ -49,6 +50,9 @@
     token: int = 0
     session: int = 0
     seq: int = 0  # sequence number of the newest known report of the machine
+    # Highest token under which this node sent the machine an order with a start. A clear with a
+    # higher token can't be undone by a copy of such an order.
+    start_token: int = 0
     waited_s: float = 0.0
     allowed: bool = True
 
@@ -92,6 +96,7 @@
             decision.token,
             decision.session,
             decision.seq,
+            decision.start_token,
             store.replica.revision,
             self._clock.now() - store.fresh_as_of,
             decision.waited_s,
--- a/pulleydeal/metrics.py
+++ b/pulleydeal/metrics.py
@@ -84,6 +84,12 @@
             ["outcome"],
             registry=registry,
         )
+        self.tokens_raised = Counter(
+            "pulleydeal_tokens_raised",
+            "Raises of a machine's token within an epoch, by cause",
+            ["why"],
+            registry=registry,
+        )
         self.order_wait = Histogram(
             "pulleydeal_order_wait_seconds",
             "From the plan of a direct order to its first byte",
--- a/pulleydeal/workers/commander.py
+++ b/pulleydeal/workers/commander.py
@@ -11,7 +11,13 @@
 from pulleydeal.metrics import Metrics
 from pulleydeal.store.replica import Replica
 from pulleydeal.workers import messages as m
-from pulleydeal.workers.commands import CommandAuthority, Order, WithdrawalReason, withdrawal_reason
+from pulleydeal.workers.commands import (
+    CommandAuthority,
+    Order,
+    TokenRaise,
+    WithdrawalReason,
+    withdrawal_reason,
+)
 from pulleydeal.workers.exits import ExitRecorder
 from pulleydeal.workers.incarnation import KnownState
 from pulleydeal.workers.orders import Orders
@@ -63,6 +69,16 @@
     def authority(self, tracked: TrackedMachine) -> CommandAuthority:
         return CommandAuthority(self._membership.epoch, self.token(tracked), tracked.session)
 
+    def refuse_earlier_starts(self, tracked: TrackedMachine) -> None:
+        """Makes the machine refuse every order with a start that was sent to it so far.
+
+        It does so once it has received the token that this node uses from now on. PROTOCOL: an
+        order may arrive again minutes after its answer, and starts a cleared attempt once more.
+        """
+        if tracked.start_token >= self.token(tracked):
+            tracked.raise_fence()
+            self._metrics.tokens_raised.labels(TokenRaise.LATE_STARTS.value).inc()
+
     def send(self, tracked: TrackedMachine, calls: Calls, runs: list[AttemptId]) -> None:
         """Queues commands, which are sent if the authority for them still holds at that time."""
         self.orders.send(Order(tracked, self.authority(tracked), calls, runs, self._clock.now()))
@@ -95,6 +111,7 @@
                 authority.token,
                 authority.session,
                 tracked.seq,
+                tracked.start_token,
                 waited_s,
                 allowed,
             )
@@ -115,10 +132,14 @@
 
     def on_send(self, order: Order, waited_s: float) -> None:
         self._metrics.order_wait.observe(waited_s)
+        if order.runs:
+            order.machine.start_token = max(order.machine.start_token, order.authority.token)
         self.log(order.machine, order.authority, order.calls, "order", waited_s)
 
     def on_result(self, order: Order, result: OrderResult) -> None:
         self._metrics.orders_finished.labels(result.outcome.value).inc()
+        if order.runs and result.maybe_executed:
+            self._metrics.tokens_raised.labels(TokenRaise.UNCONFIRMED.value).inc()
         machine = order.machine.id
         if result.outcome is not Outcome.NOT_UNDERSTOOD:
             if result.reason:
--- a/pulleydeal/workers/commands.py
+++ b/pulleydeal/workers/commands.py
@@ -49,6 +49,14 @@
     QUEUE = "queue too long"
 
 
+class TokenRaise(StrEnum):
+    """Why the token of a machine was raised within an epoch."""
+
+    LATE_STARTS = "late starts"  # so that the machine refuses copies of answered orders
+    UNCONFIRMED = "unconfirmed order"
+    RESTART = "restart"
+
+
 def withdrawal_reason(
     order: Order, tracked: TrackedMachine | None, authority: CommandAuthority, may_start: bool
 ) -> WithdrawalReason | None:
--- a/pulleydeal/workers/outcomes.py
+++ b/pulleydeal/workers/outcomes.py
@@ -40,6 +40,11 @@
     reason: str = ""
     is_other_machine: bool = False
 
+    @property
+    def maybe_executed(self) -> bool:
+        """Whether the commands may have been executed, or may be later, without confirmation."""
+        return self.outcome in (Outcome.UNANSWERED, Outcome.NOT_UNDERSTOOD)
+
     @property
     def is_answered(self) -> bool:
         """Whether an answer came, valid or not."""
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -237,6 +237,8 @@
         plan = self._plan(tracked)
         for start in plan.runs:
             tracked.sent[start] = SentStart(tracked.session, report.seq)
+        if plan.clears:
+            self.commander.refuse_earlier_starts(tracked)
         authority = self.commander.authority(tracked)
         self.commander.log(tracked, authority, plan.calls, "answer to a check-in")
         return self._command_response(tracked, plan.calls)
@@ -310,7 +312,7 @@
                 # seconds. Kills can be repeated safely and are kept: orders that hung used to hold
                 # them back from machines whose leases went on being renewed.
                 plan.calls = [call for call in plan.calls if call["call"] == "kill"]
-                plan.runs = []
+                plan.runs, plan.clears = [], []
         for task_exit in plan.exits:
             self.exits.record(tracked, task_exit)
         return plan
--- a/pulleydeal/workers/tracked_machine.py
+++ b/pulleydeal/workers/tracked_machine.py
@@ -84,6 +84,7 @@
     inherited: set[AttemptId]  # bindings that an earlier owner may have started
     addr: str = ""
     fence: int = 0  # counter in the low bits of this node's tokens, below the epoch
+    start_token: int = 0  # highest token under which an order with a start was sent; 0: none
     session: int = 0
     seq: int = 0
     seen_token: int = 0  # token in the last accepted report
@@ -214,6 +215,7 @@
 
     calls: list[dict[str, Any]] = field(default_factory=list)
     runs: list[AttemptId] = field(default_factory=list)
+    clears: list[AttemptId] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
     needs_replan: bool = False  # must be planned again even if nothing changes
 
@@ -270,6 +272,7 @@
         elif sent is None or sent.settled:
             # The stored state no longer binds it here, and no `run` for it can still arrive.
             plan.calls.append(m.clear(*attempt_id))
+            plan.clears.append(attempt_id)
     for attempt_id in [k for k in s.sent if k[:2] not in desired and s.sent[k].settled]:
         del s.sent[attempt_id]
     # The outcome of an order or a start in flight will change the plan.
--- a/standins/attempts.py
+++ b/standins/attempts.py
@@ -35,6 +35,9 @@
         report["lifts"] = entries
         return report
 
+    def knows(self, task: str, attempt: int) -> bool:
+        return (task, attempt) in self.superseded or super().knows(task, attempt)
+
     def execute(self, commands: list[dict[str, Any]], ordered_at: float) -> None:
         for command in commands:
             attempt = (command["lift"], command["pull"])
--- a/standins/expected.py
+++ b/standins/expected.py
@@ -39,6 +39,12 @@
             on_host(self._user_host, self._expect_up(what, value))
         elif what == "starts":
             self._expect_count(self.rules.starts, value, what)
+        elif what == "late_orders":
+            self._expect_count(self.late_orders.after_clear, value, what)
+        elif what == "started_again":
+            self._expect_count(self.late_orders.started_again, value, what)
+        elif what == "late_orders_reboot":
+            self._expect_count(self.late_orders.after_reboot, value, what)
         elif what == "lost":
             self._expect(f"{self.rules.lost} lost", f"{value} lost")
         else:
--- a/standins/scenario.py
+++ b/standins/scenario.py
@@ -43,6 +43,9 @@
         self._clock = LoopClock(loop)
         self.rules = Rules(TEAMS, CANCEL_S, loop.time)
         self._world = WorkerEnvironment(self.rules, self.rules.uploads)
+        self.late_orders = self._world.late_orders
+        self.late_orders.rng = random.Random(f"{seed} late orders")
+        self.late_orders.deliver = self._deliver_order
         self._nodes = {f"winch-{i}": f"10.0.0.{i + 1}" for i in range(3)}
         self._hosts: dict[str, Host] = {}
         self._restart_timers: dict[str, asyncio.TimerHandle] = {}
@@ -189,6 +192,7 @@
             self._boot_machine(machine, old.machine_type, old.zone, old.spot)
             if keeps_counters:
                 self._workers[machine].resume_counters(old)
+            self.late_orders.on_reboot(machine)
 
     def do_keep_attempts(self, order: ReportOrder | None = None) -> None:
         if order not in (None, *REPORT_ORDERS):
--- a/standins/script.py
+++ b/standins/script.py
@@ -13,6 +13,9 @@
   state watches end|wait       whether watches of a refused node end empty, or wait
   late_reports SHARE [next]    share of check-ins that are sent again 2 to 25 s later, or to every
                       node when the next leader takes over
+  late_orders SHARE [next|reboot]   share of answered orders with a start that reach their machine
+                      again 2 to 16 s later, or when the next leader takes over, or when the
+                      machine has rebooted
   mute NODE NODE      messages from the first to the second are held back until `heal`
   mute BLOCK|ZONE|all [SHARE]   these machines reach no node, while direct orders reach them
   hang BLOCK|ZONE|all SECONDS [SHARE]   these machines freeze while their clocks keep running
@@ -68,6 +71,9 @@
   expect kept BLOCK   the machine was not returned
   expect fleet known  exactly the rented machines have a record
   expect deaf NODE|none   the only node that the view marks as deaf (to a zone), or none
+  expect late_orders COUNT+         copies that named a start which the machine had been told to
+                      clear by then; started_again: which it carried out all the
+                      same; late_orders_reboot: which it had lost in a reboot
   expect lost COUNT   tasks that workers ended because their lease was not renewed
 """
 
--- a/standins/troubles.py
+++ b/standins/troubles.py
@@ -4,6 +4,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from standins.late_orders import Awaits, OrderCopy
 from standins.net import Host, on_host
 from standins.place import FAILED_S, RESTART_S, ZONES
 from standins.wrong_answers import WRONG_ANSWERS
@@ -84,8 +85,27 @@
             until == "next",
         )
 
+    def do_late_orders(self: "Scenario", share: str, awaits: str = Awaits.TIME) -> None:
+        late_orders = self._world.late_orders
+        late_orders.share, late_orders.awaits = float(share), Awaits(awaits)
+
+    def _deliver_order(self: "Scenario", delay_s: float, copy: OrderCopy) -> None:
+        async def arrive() -> None:
+            worker = self._workers.get(copy.machine)
+            if worker is not None:
+                self._world.late_orders.arrive(worker, copy)
+
+        def deliver() -> None:
+            host = self._hosts.get(copy.machine)
+            if host is not None and host.alive:
+                on_host(host, arrive())
+
+        self._loop.call_later(delay_s, deliver)
+
     def _on_state_write(self: "Scenario", key: str) -> None:
         """On the write of a new view, sends the held reports to every node, with small delays."""
+        if key == "p/view":
+            self._world.late_orders.on_view_change()
         if key != "p/view" or not self._world.held_reports:
             return
         held, self._world.held_reports = self._world.held_reports, []
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -11,6 +11,7 @@
 from pulleydeal.clock import Clock
 from pulleydeal.http import Client, NoResponse, Request, Response, Server, json_response
 from standins.gangs import Gangs
+from standins.late_orders import LateOrders
 from standins.net import LINK
 from standins.rules import Rules
 from standins.wrong_answers import WrongAnswers
@@ -58,6 +59,7 @@
     late_report_share: float = 0.0  # share of check-ins that are sent again later
     hold_until_next_leader: bool = False  # send these copies to every node then
     held_reports: list[dict[str, Any]] = field(default_factory=list)  # copies held back so far
+    late_orders: LateOrders = field(default_factory=LateOrders)
     fetch_gb_per_s: float = 0.5
     on_task_completed: Callable[[str], None] = lambda _: None  # called with the task id
     # Finds a description that no user uploaded.
@@ -232,15 +234,26 @@
         body = json.loads(request.body)
         if "whistle" not in body or "shift" not in body:
             return json_response(400, {})
-        if body["whistle"] < self.token or body["shift"] != self.session:
-            return json_response(409, self.report())
-        if body["whistle"] > self.token:
-            self.token = body["whistle"]
         link = LINK.get(None)
-        self.execute(body["calls"], link.sent_at if link is not None else self._clock.now())
-        self._report_due.set()
+        sent_at = link.sent_at if link is not None else self._clock.now()
+        if not self.take_order(body, sent_at):
+            return json_response(409, self.report())
+        self._environment.late_orders.on_answered(self, body, sent_at)
         return json_response(200, self.report())
 
+    def take_order(self, body: dict[str, Any], sent_at: float) -> bool:
+        """Executes the commands of an order unless its token or session is refused."""
+        if body["whistle"] < self.token or body["shift"] != self.session:
+            return False
+        self.token = body["whistle"]
+        self.execute(body["calls"], sent_at)
+        self._report_due.set()
+        return True
+
+    def knows(self, task: str, attempt: int) -> bool:
+        """Whether a `run` of this attempt would be a repeat, which does nothing."""
+        return task in self.tasks and self.tasks[task].attempt == attempt
+
     # --- commands ---------------------------------------------------------------------------
     def execute(self, commands: list[dict[str, Any]], ordered_at: float) -> None:
         """`ordered_at` is a lower bound for when these commands were sent."""
