Machine sickness and lease renewal get modules of their own

Change: `is_sick` moves to workers/sickness.py, what permits a lease's renewal to workers/lease_renewal.py; no behaviour changes.

--- a/pulleydeal/workers/eviction.py
+++ b/pulleydeal/workers/eviction.py
@@ -25,7 +25,8 @@
     unreachable_zones,
 )
 from pulleydeal.workers.seen_attempts import AttemptId
-from pulleydeal.workers.tracked_machine import FailureCause, TrackedMachine, is_sick
+from pulleydeal.workers.sickness import FailureCause, is_sick
+from pulleydeal.workers.tracked_machine import TrackedMachine
 
 log = logging.getLogger("pulleydeal.workers")
 IDLE = "idle"  # drain reason of a machine that no work needs
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -14,7 +14,6 @@
 from pulleydeal.clock import Clock
 from pulleydeal.decisions import Action, Decision, DecisionLog
 from pulleydeal.http import DECODE_ERRORS, Request, Response, json_response
-from pulleydeal.membership import freshness
 from pulleydeal.membership import view as views
 from pulleydeal.membership.service import Membership
 from pulleydeal.metrics import Metrics
@@ -25,6 +24,7 @@
 from pulleydeal.workers.commander import Commander
 from pulleydeal.workers.desired import desired_tasks
 from pulleydeal.workers.exits import ExitRecorder
+from pulleydeal.workers.lease_renewal import LeaseRenewal
 from pulleydeal.workers.partition_policy import PartitionPolicy
 from pulleydeal.workers.reachability import silent_s, without_checkin_s
 from pulleydeal.workers.registration import MachineRegistrar
@@ -95,11 +95,7 @@
         self._background = BackgroundTasks("registering a machine failed")
         self._dirty: set[str] = set()
         self._wake = asyncio.Event()
-        # Oldest state copy with which leases may be renewed: a node cut off from the state service
-        # must stop renewing early enough that leases expire within cancel_s.
-        self._max_staleness_s = max(
-            2.0, (times.cancel_s - times.lease_s) * (1 - c.CLOCK_DRIFT) - c.RENEW_MARGIN_S
-        )
+        self._lease_renewal = LeaseRenewal(membership, store, times, clock, partition_policy)
         self._reported_jobs = ReportedJobs()
         self._full_round_at = -1e9  # steady time of the last round over all owned machines
         # Called with the id of a machine whose credit may have changed.
@@ -217,7 +213,7 @@
             if self._partition_policy.renews_for_owner(report):
                 return json_response(200, m.commands(report.token, []))
             return json_response(421, m.redirect(owner))
-        if not self._may_renew_lease(report.zone):
+        if not self._lease_renewal.is_allowed(report.zone):
             return json_response(503, {"error": "blind for too long"}, c.RETRY_AFTER_S)
         record = self._replica.machines.get(report.machine)
         if record is not None and record.record.state == "gone":
@@ -250,19 +246,6 @@
     def _on_answered(self, tracked: TrackedMachine) -> None:
         tracked.checkin_answered_at = self._clock.now()
 
-    def _may_renew_lease(self, zone: str) -> bool:
-        """Whether this node knows of cancellations recently enough to renew leases in the zone.
-
-        Otherwise it might keep a cancelled task alive. What counts is when its copy was current or
-        when the other members were asked, not when their answers arrived.
-        """
-        limit_s, now = self._max_staleness_s, self._clock.now()
-        return (
-            freshness.may_renew(self._store.fresh_as_of, limit_s, now)
-            or freshness.may_renew(self._membership.cancellations_known_at(), limit_s, now)
-            or self._partition_policy.may_renew_while_stale(zone)
-        )
-
     def _apply_report(self, tracked: TrackedMachine, report: m.Report, checkin: bool) -> None:
         now = self._clock.now()
         with self._lock:
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -14,7 +14,8 @@
 from pulleydeal.workers.commands import CommandAuthority, Order
 from pulleydeal.workers.partition_policy import PartitionPolicy
 from pulleydeal.workers.service import Workers
-from pulleydeal.workers.tracked_machine import FailureCause, SentStart, TrackedMachine, is_sick
+from pulleydeal.workers.sickness import FailureCause, is_sick
+from pulleydeal.workers.tracked_machine import SentStart, TrackedMachine
 
 
 class FakeNode:
