A machine that forgot attempts holds a higher token before their absence counts

What callers saw, on the operators' similar service: a controller or a machine had come back within a second, a late copy of a start command that had been answered reached the machine, and a task that had been moved or cancelled ran again. It could happen here.

Cause: a machine may be back at once with session, report number and token as before. Its report without a task was taken for proof that the task can't run there, while a copy of the answered order still carried a valid token. The same flaw in two more places: the first check-in after a restart that begins at 1 was answered with the token of the last start; and an order's answer that a report after a restart had overtaken counted as confirmation. Class: absence taken for proof while a right to start was still valid.

Change: by PROTOCOL only a clear removes an attempt within a session, so a report without an attempt that was not cleared shows a restart; the machine is then taken over as after the restarts that were noticed already, and nothing counts before it holds a higher token. The answer to an ambiguous check-in excludes earlier starts at once, and an overtaken answer leaves its starts open.

Not held: a copy that arrives before a machine that begins at 1 has had its first answer.

--- a/pulleydeal/workers/incarnation.py
+++ b/pulleydeal/workers/incarnation.py
@@ -51,6 +51,24 @@
     return older or report.token < before.token
 
 
+def has_lost_attempts(s: TrackedMachine, report: m.Report) -> bool:
+    """Whether a newer report of the same session lacks an attempt that was not cleared.
+
+    By PROTOCOL only a clear removes an attempt within a session. Without it the machine restarted,
+    with its report numbers and its token going on, and accepts each order that it executed before.
+    An attempt whose task is reported with another attempt does not count: a machine may drop it.
+    """
+    if not s.trusted or report.session != s.session or report.seq <= s.seq:
+        return False
+    if report.tasks == s.raw_tasks:
+        return False
+    reported = {t.task for t in report.tasks}
+    return any(
+        attempt_id not in s.cleared and m.task_name(*attempt_id[:2]) not in reported
+        for attempt_id in s.attempts
+    )
+
+
 def state_after_restart(
     s: TrackedMachine, inherited: set[tuple[str, int, int]], token: int, now: float
 ) -> TrackedMachine:
--- a/pulleydeal/workers/orders.py
+++ b/pulleydeal/workers/orders.py
@@ -168,6 +168,8 @@
             self.drop(order.machine.addr)
             order.machine.addr = ""
         match result.outcome:
+            case Outcome.EXECUTED if self._is_overtaken(order, result):
+                self._handle_unconfirmed(order, maybe_executed=True)
             case Outcome.EXECUTED:
                 for start in order.runs:
                     order.machine.sent[start].direct = False
@@ -177,6 +179,16 @@
             case Outcome.UNANSWERED | Outcome.NOT_UNDERSTOOD:
                 self._handle_unconfirmed(order, maybe_executed=True)
 
+    def _is_overtaken(self, order: Order, result: OrderResult) -> bool:
+        """Whether a newer report than the answer's lacks a start of the order.
+
+        The machine restarted after it had executed the order, which it may execute once more.
+        """
+        tracked, report = order.machine, result.report
+        assert report is not None
+        is_older = (report.session, report.seq) <= (tracked.session, tracked.seq)
+        return is_older and not all(start in tracked.attempts for start in order.runs)
+
     def _update_reachability(self, tracked: TrackedMachine, result: OrderResult) -> None:
         tracked.last_answer_invalid = result.outcome is Outcome.NOT_UNDERSTOOD
         if not result.is_answered:
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -22,6 +22,7 @@
 from pulleydeal.workers import incarnation, task_log
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.commander import Commander
+from pulleydeal.workers.commands import TokenRaise
 from pulleydeal.workers.desired import desired_tasks
 from pulleydeal.workers.exits import ExitRecorder
 from pulleydeal.workers.lease_renewal import LeaseRenewal
@@ -225,8 +226,13 @@
             # An owner with a newer view commands the machine; this node's view is outdated.
             return json_response(421, m.redirect(""))
         if incarnation.is_ambiguous(tracked, report, self._clock.now()):
+            if not tracked.order_in_flight:
+                # Restarted or not, from this answer on it accepts no earlier start.
+                self.commander.refuse_earlier_starts(tracked)
             self.commander.probe(tracked)
             return self._command_response(tracked, [])
+        if incarnation.has_lost_attempts(tracked, report):
+            tracked = self._track_restarted(tracked)
         self._apply_report(tracked, report, checkin=True)
         if record is None or record.record.state == "boot" or (record.record.addr != report.addr):
             self._background.spawn(self._registrar.register(report))
@@ -235,6 +241,7 @@
             tracked.sent[start] = SentStart(tracked.session, report.seq)
         if plan.clears:
             self.commander.refuse_earlier_starts(tracked)
+            tracked.cleared.update(plan.clears)
         authority = self.commander.authority(tracked)
         self.commander.log(tracked, authority, plan.calls, "answer to a check-in")
         return self._command_response(tracked, plan.calls)
@@ -355,20 +362,25 @@
     ) -> None:
         if self.machines.get(tracked.id) is not tracked:
             return
-        if incarnation.has_restarted(before, report):
-            log.info("machine %s restarted without its tasks", tracked.id)
-            token = views.token(self._membership.epoch, tracked.fence + 1)
-            new = incarnation.state_after_restart(
-                tracked, self._bound_on(tracked.id), token, self._clock.now()
-            )
-            with self._lock:
-                self.machines[tracked.id] = new
-                self._reported_jobs.update(tracked.id, tracked.attempts, ())
-            tracked = new
+        has_restarted = incarnation.has_restarted(before, report)
+        if has_restarted or incarnation.has_lost_attempts(tracked, report):
+            tracked = self._track_restarted(tracked)
         self._apply_report(tracked, report, checkin=False)
         if not tracked.trusted:
             self._probe_untrusted(tracked)  # gives it the new token
 
+    def _track_restarted(self, tracked: TrackedMachine) -> TrackedMachine:
+        log.info("machine %s restarted without its tasks", tracked.id)
+        self._metrics.tokens_raised.labels(TokenRaise.RESTART.value).inc()
+        token = views.token(self._membership.epoch, tracked.fence + 1)
+        new = incarnation.state_after_restart(
+            tracked, self._bound_on(tracked.id), token, self._clock.now()
+        )
+        with self._lock:
+            self.machines[tracked.id] = new
+            self._reported_jobs.update(tracked.id, tracked.attempts, ())
+        return new
+
     def _probe_untrusted(self, tracked: TrackedMachine) -> None:
         """Probes a machine at once, unless its last answer was invalid.
 
--- a/pulleydeal/workers/tracked_machine.py
+++ b/pulleydeal/workers/tracked_machine.py
@@ -100,6 +100,7 @@
     attempts: dict[AttemptId, TaskStatus] = field(default_factory=dict)
     # Task -> its attempt that has not exited.
     live_attempts: dict[TaskId, AttemptId] = field(default_factory=dict)
+    cleared: set[AttemptId] = field(default_factory=set)  # reported, and a clear was sent for them
     sent: dict[AttemptId, SentStart] = field(default_factory=dict)
     seen: SeenAttempts = field(default_factory=SeenAttempts)  # attempts that it has reported
     # (attempt, whether it was given time to save) -> when the last kill was planned
@@ -186,6 +187,7 @@
         s.seen.add(attempt_id)
         if status.state != "exited":
             s.live_attempts[task_id] = attempt_id
+    s.cleared.intersection_update(s.attempts)
 
 
 def lease_over(s: TrackedMachine, now: float, lease_s: float) -> bool:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -9,7 +9,9 @@
 from pulleydeal.store import records as r
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.commands import Order, TokenRaise
+from pulleydeal.workers.outcomes import OrderResult, Outcome
 from pulleydeal.workers.service import Workers
+from pulleydeal.workers.tracked_machine import SentStart
 from tests.test_pending_end import bind_job
 from tests.test_workers import FakeNode, checkin_request, machine_record, make_workers
 
@@ -41,6 +43,10 @@
     return type(request)("POST", "/checkin", msgspec.json.encode(body))
 
 
+def running_checkin(tally: int, *lifts: str, token: int = TOKEN) -> Any:
+    return checkin_request("vm-1", tally, *lifts, token=token)
+
+
 def answer_to(workers: Workers, request: Any) -> tuple[int, list[str]]:
     """The token and the commands in the answer to a check-in."""
     body = msgspec.json.decode(asyncio.run(workers.checkin(request)).body)
@@ -96,3 +102,70 @@
     answer_to(workers, exited_checkin(2, TOKEN))
     clear = next(text for text in caplog.messages if "decision clear" in text)
     assert f"token={TOKEN + 1} " in clear and f"start_token={TOKEN} " in clear
+
+
+# --- machines that are back within a second --------------------------------------------------
+def test_absence_after_a_restart_with_kept_counters_needs_a_higher_token() -> None:
+    """The start was bound elsewhere at once, and a copy of its order started it here again."""
+    _, workers = owner_with_bound_task()
+    exits: list[str] = []
+    workers.exits.record = lambda _, task_exit: exits.append(task_exit.detail)  # type: ignore[method-assign]
+    send_start(workers)
+    answer_to(workers, running_checkin(2, "j-1/0"))
+    token, _ = answer_to(workers, running_checkin(3))  # the machine restarted without the task
+    assert token == TOKEN + 1 and exits == []
+    answer_to(workers, running_checkin(4))  # that answer was lost
+    assert exits == [] and not workers.machines["vm-1"].trusted
+    answer_to(workers, running_checkin(5, token=TOKEN + 1))
+    assert exits == ["never came up"]
+
+
+def test_restart_is_noticed_from_an_exited_attempt_that_was_not_cleared() -> None:
+    _, workers = owner_with_bound_task()
+    workers.exits.record = lambda *_: None  # type: ignore[method-assign]
+    send_start(workers)
+    # Its end is not durable yet, so no clear is sent.
+    assert answer_to(workers, exited_checkin(2, TOKEN)) == (TOKEN, [])
+    assert answer_to(workers, running_checkin(3))[0] == TOKEN + 1
+
+
+def test_clear_and_a_dropped_earlier_attempt_are_no_restart() -> None:
+    node, workers = owner_with_bound_task()
+    node.put(r.chunk_key("j-1", 0), [r.Task("", 1)])
+    tracked = workers.machines["vm-1"]
+    assert answer_to(workers, exited_checkin(2, TOKEN))[1] == ["clear"]
+    answer_to(workers, running_checkin(3))
+    assert workers.machines["vm-1"] is tracked and tracked.cleared == set()
+    # A worker may drop an exited attempt when it starts the next one of the same task.
+    answer_to(workers, exited_checkin(4, TOKEN))
+    tracked.cleared.clear()
+    request = running_checkin(5, "j-1/0")
+    body = msgspec.json.decode(request.body)
+    body["lifts"][0]["pull"] = 2
+    answer_to(workers, type(request)("POST", "/checkin", msgspec.json.encode(body)))
+    assert workers.machines["vm-1"] is tracked
+
+
+def test_answer_to_the_first_checkin_after_a_restart_excludes_earlier_starts() -> None:
+    """It carried the token of the last start, and a copy was executed until the next answer."""
+    _, workers = owner_with_bound_task()
+    send_start(workers)
+    answer_to(workers, running_checkin(2, "j-1/0"))
+    workers.commander.probe = lambda tracked: None  # type: ignore[method-assign]
+    assert answer_to(workers, running_checkin(1, token=0)) == (TOKEN + 1, [])
+    # An order in flight is not refused for what may be a late copy of a report.
+    send_start(workers)
+    workers.machines["vm-1"].order_in_flight = True
+    assert answer_to(workers, running_checkin(1, token=0)) == (TOKEN + 1, [])
+
+
+def test_answer_to_an_order_that_a_report_after_a_restart_overtook_confirms_no_start() -> None:
+    _, workers = owner_with_bound_task()
+    send_start(workers)
+    tracked = workers.machines["vm-1"]
+    order = Order(tracked, workers.commander.authority(tracked), [], [START], 1.0)
+    tracked.sent[START] = SentStart(1, 0, direct=True)
+    answer = m.REPORT.decode(running_checkin(2, "j-1/0").body)
+    answer_to(workers, running_checkin(3))
+    workers.commander.orders._apply_result(order, OrderResult(Outcome.EXECUTED, answer))
+    assert not tracked.sent[START].settled and tracked.sent[START].fence_token == TOKEN + 1
