The fence counter stays below the next epoch's tokens, and begins anew with each epoch

Cause: clears raise a machine's token now, some once in three seconds on a busy machine, so the 24 bits below the epoch last 1.6 years of one view. After the last value came the next epoch's first token, at which orders of two epochs can't be told apart; and the token after a restart was put together with a bitwise or, which gave the epoch's own first token there.

Change: the counter stops at its last value; under it no order starts a task, only answers to check-ins do, which are never executed late, so clears need no higher token. After a restart the next epoch's token is waited for. A new view sets the counter of kept machines back to 0.

--- a/pulleydeal/constants.py
+++ b/pulleydeal/constants.py
@@ -69,6 +69,7 @@
 # know of.
 FORMAT_FRESHNESS = 3
 EPOCH_SHIFT = 24  # bits of a token below the epoch: the per-machine fence counter
+FENCE_LAST = (1 << EPOCH_SHIFT) - 1  # the next value would be the next epoch's first token
 DIAL_TIMEOUT_S = 1.0  # for connecting to a sibling: hosts are a few ms apart
 REJECTION_LOG_INTERVAL_S = 60.0  # port scans must not fill the log with invalid messages
 MAX_FRAME_B = 1 << 20  # largest frame between siblings; an ask of 64 tasks is a few KiB
--- a/pulleydeal/membership/view.py
+++ b/pulleydeal/membership/view.py
@@ -29,8 +29,12 @@
 
 
 def token(epoch: int, fence: int) -> int:
-    """The fencing token: the epoch, followed by EPOCH_SHIFT bits of the machine's fence counter."""
-    return (epoch << c.EPOCH_SHIFT) | fence
+    """The fencing token: the epoch, followed by EPOCH_SHIFT bits of the machine's fence counter.
+
+    The value after the last one of an epoch is the next epoch's first: a proof to wait for, and
+    never a token to send.
+    """
+    return (epoch << c.EPOCH_SHIFT) + fence
 
 
 def joined(view: View, member: str, incarnation: str) -> View:
--- a/pulleydeal/workers/incarnation.py
+++ b/pulleydeal/workers/incarnation.py
@@ -75,8 +75,10 @@
     """The state of a machine after a restart, as after a takeover.
 
     No report is trusted before the machine holds a token above all that it was given before the
-    restart; from then on no order that was sent before can be executed.
+    restart; from then on no order that was sent before can be executed. After the epoch's last
+    token that is `token` of the next epoch.
     """
     new = TrackedMachine(s.id, s.type, s.zone, s.spot, now, token, inherited)
-    new.addr, new.fence, new.errors = s.addr, s.fence + 1, s.errors
+    new.addr, new.fence, new.errors = s.addr, s.fence, s.errors
+    new.raise_fence()
     return new
--- a/pulleydeal/workers/service.py
+++ b/pulleydeal/workers/service.py
@@ -144,7 +144,9 @@
                 self.machines.clear()
                 self._reported_jobs.clear()
             for machine, tracked in list(self.machines.items()):
-                if not self._membership.owns(machine, tracked.zone):
+                if self._membership.owns(machine, tracked.zone):
+                    tracked.fence = 0  # the new epoch's tokens are above all earlier ones
+                else:
                     self._stop_tracking(machine)
             for machine, record in self._replica.machines.items():
                 rec = record.record
@@ -349,6 +351,8 @@
             # commands until it answers a probe correctly.
             forget_kills(tracked, plan.calls)
             return
+        if not tracked.can_raise_fence:
+            plan = plan.without_starts()  # answers to check-ins start tasks
         urgent = [call for call in plan.calls if call["call"] != "clear"]
         if urgent or any(
             sent.fence_token is not None and not sent.settled for sent in tracked.sent.values()
--- a/pulleydeal/workers/tracked_machine.py
+++ b/pulleydeal/workers/tracked_machine.py
@@ -119,8 +119,13 @@
         """Whether its reports show the effect of every command of earlier owners."""
         return self.last_report_at is not None and self.seen_token >= self.takeover_token
 
+    @property
+    def can_raise_fence(self) -> bool:
+        """False at the last token of the epoch, under which no order may start a task."""
+        return self.fence < c.FENCE_LAST
+
     def raise_fence(self) -> None:
-        self.fence += 1
+        self.fence = min(self.fence + 1, c.FENCE_LAST)
 
 
 def apply_report(s: TrackedMachine, report: m.Report, now: float, checkin: bool) -> bool:
@@ -221,6 +226,10 @@
     exits: list[Exit] = field(default_factory=list)
     needs_replan: bool = False  # must be planned again even if nothing changes
 
+    def without_starts(self) -> "Plan":
+        calls = [call for call in self.calls if call["call"] != "run"]
+        return Plan(calls, [], self.clears, self.exits, self.needs_replan)
+
     @property
     def is_empty(self) -> bool:
         """Nothing to send, to record or to plan again later."""
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from pulleydeal import constants as c
 from pulleydeal.store import records as r
 from pulleydeal.workers import messages as m
 from pulleydeal.workers.commands import Order, TokenRaise
@@ -104,6 +105,37 @@
     assert f"token={TOKEN + 1} " in clear and f"start_token={TOKEN} " in clear
 
 
+def test_last_token_of_an_epoch_is_not_followed_by_the_next_epochs() -> None:
+    node, workers = owner_with_bound_task()
+    tracked = workers.machines["vm-1"]
+    tracked.fence = c.FENCE_LAST - 1
+    send_start(workers)
+    orders: list[Any] = []
+    workers.commander.orders.send = orders.append  # type: ignore[method-assign]
+    last = ((FakeNode.epoch + 1) << c.EPOCH_SHIFT) - 1
+    node.put(r.chunk_key("j-1", 0), [r.Task("", 1)])
+    assert answer_to(workers, exited_checkin(2, last - 1)) == (last, ["clear"])
+    # Nothing above it can exclude late copies, so only answers to check-ins start tasks.
+    node.put(r.chunk_key("j-1", 0), [r.Task("vm-1", 2)])
+    workers._reconcile_machine(tracked)
+    assert orders == []
+    assert answer_to(workers, running_checkin(3, token=last)) == (last, ["run"])
+    # After a restart nothing counts before the next epoch.
+    restarted = workers._track_restarted(tracked)
+    assert (workers.commander.token(restarted), restarted.takeover_token) == (last, last + 1)
+
+
+def test_fence_begins_anew_with_each_epoch() -> None:
+    node, workers = owner_with_bound_task()
+    workers._update_ownership()
+    tracked = workers.machines["vm-1"]
+    tracked.fence = 7
+    node.epoch += 1
+    workers._update_ownership()
+    assert workers.machines["vm-1"] is tracked
+    assert workers.commander.token(tracked) == node.epoch << c.EPOCH_SHIFT
+
+
 # --- machines that are back within a second --------------------------------------------------
 def test_absence_after_a_restart_with_kept_counters_needs_a_higher_token() -> None:
     """The start was bound elsewhere at once, and a copy of its order started it here again."""
