--- a/experiments/__main__.py
+++ b/experiments/__main__.py
@@ -18,6 +18,7 @@
     "cron",
     "cronyear",
     "history",
+    "late_orders",
     "meetings",
     "overload",
     "profile",
--- a/standins/late_orders.py
+++ b/standins/late_orders.py
@@ -34,6 +34,7 @@
     body: dict[str, Any]
     sent_at: float
     worker: "Worker"  # the worker that executed it; a reboot replaces it
+    awaits: Awaits
 
 
 @dataclass
@@ -61,25 +62,22 @@
         starts = any(command["call"] == "run" for command in body["calls"])
         if not self.share or not starts or self.rng.random() >= self.share:
             return
-        copy = OrderCopy(worker.machine, body, sent_at, worker)
+        copy = OrderCopy(worker.machine, body, sent_at, worker, self.awaits)
         if self.awaits is Awaits.TIME:
             self.deliver(self.rng.uniform(DELAY_MIN_S, DELAY_MAX_S), copy)
         else:
             self._kept.append(copy)
 
     def on_view_change(self) -> None:
-        if self.awaits is Awaits.LEADER:
-            kept, self._kept = self._kept, []
-            self._deliver_soon(kept)
+        self._deliver_kept(lambda copy: copy.awaits is Awaits.LEADER)
 
     def on_reboot(self, machine: str) -> None:
-        if self.awaits is Awaits.REBOOT:
-            kept = [copy for copy in self._kept if copy.machine == machine]
-            self._kept = [copy for copy in self._kept if copy.machine != machine]
-            self._deliver_soon(kept)
+        self._deliver_kept(lambda copy: copy.awaits is Awaits.REBOOT and copy.machine == machine)
 
-    def _deliver_soon(self, copies: list[OrderCopy]) -> None:
-        for copy in copies:
+    def _deliver_kept(self, is_due: Callable[[OrderCopy], bool]) -> None:
+        due = [copy for copy in self._kept if is_due(copy)]
+        self._kept = [copy for copy in self._kept if not is_due(copy)]
+        for copy in due:
             self.deliver(self.rng.choice(KEPT_DELAYS_S), copy)
 
     def arrive(self, worker: "Worker", copy: OrderCopy) -> None:
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from experiments import late_orders
 from pulleydeal import constants as c
 from pulleydeal.store import records as r
 from pulleydeal.workers import messages as m
@@ -201,3 +202,16 @@
     answer_to(workers, running_checkin(3))
     workers.commander.orders._apply_result(order, OrderResult(Outcome.EXECUTED, answer))
     assert not tracked.sent[START].settled and tracked.sent[START].fence_token == TOKEN + 1
+
+
+# --- drawn runs --------------------------------------------------------------------------------
+@pytest.mark.parametrize("seed", [1000, 1001, 1002, 1003])
+def test_drawn_late_orders_among_restarts_break_no_rule(seed: int) -> None:
+    found = late_orders.run_seed(seed)
+    assert (found["broken"], found["failures"]) == ([], [])
+    assert found["after a clear"] >= late_orders.MIN_AFTER_CLEAR
+
+
+def test_copy_that_reaches_a_restarted_machine_before_its_first_answer_starts_nothing() -> None:
+    found = late_orders.run_seed(1010)
+    assert (found["broken"], found["failures"]) == ([], [])
