--- a/experiments/late_orders.py
+++ b/experiments/late_orders.py
@@ -14,6 +14,7 @@
 from experiments import restarts
 from experiments.report import Report
 from standins.late_orders import Awaits
+from standins.place import ZONES
 from standins.scenario import play
 
 ABOUT = "three nodes; copies of answered orders, nodes and machines back within a second"
@@ -41,7 +42,7 @@
 
 def faults(rng: random.Random) -> list[Event]:
     lines = [
-        (rng.uniform(25, 80), f"sick vm-{rng.randrange(1, 9):06d}") for _ in range(rng.randrange(3))
+        (rng.uniform(25, 80), f"sick {rng.choice(ZONES)} 0.2") for _ in range(rng.randrange(3))
     ]
     at = FAULTS_BEGIN_S
     while at < FAULTS_END_S:
--- a/experiments/scale.py
+++ b/experiments/scale.py
@@ -48,9 +48,9 @@
 SWEEPS[FAULTS] = [Size(workers=600, features=JOURNAL)]
 LATE_ORDERS = "late orders"  # among the same faults
 SWEEPS[LATE_ORDERS] = [
-    Size(workers=600, starts_per_s=40, features=JOURNAL, late_orders_share=0.5),
+    Size(workers=600, starts_per_s=40, features=JOURNAL, late_orders_share=1.0),
     Size(
-        workers=4_000, tasks_per_worker=4, starts_per_s=40, features=JOURNAL, late_orders_share=0.5
+        workers=4_000, tasks_per_worker=4, starts_per_s=40, features=JOURNAL, late_orders_share=1.0
     ),
 ]
 FAULT_SWEEPS = (FAULTS, LATE_ORDERS)
--- a/standins/script.py
+++ b/standins/script.py
@@ -36,7 +36,8 @@
                       this order, or each in one of its own (standins/attempts.py)
   again JOB submit|cancel                        repeats a request of its user at each node
   deafen NODE                                    partitions the node from all workers
-  die BLOCK|ZONE [SHARE] (that part of its machines) | sick BLOCK | notice BLOCK SECONDS
+  die BLOCK|ZONE [SHARE] (that part of its machines) | sick BLOCK|ZONE [SHARE]
+  notice BLOCK SECONDS
   state limits VALUE_KB TXN_OPS WRITE_RPS        limits of the state service from now on
   load FILE   (only as the first event)          starts from the records of another version; its
                                                  machines are up, but their tasks are lost
--- a/standins/troubles.py
+++ b/standins/troubles.py
@@ -204,8 +204,10 @@
             self._network.kill(self._hosts[machine])
             self._loop.call_later(FAILED_S, self.cloud.fail, machine)
 
-    def do_sick(self: "Scenario", machine: str) -> None:
-        self._workers[machine].sick = True
+    def do_sick(self: "Scenario", selector: str, share: str = "1") -> None:
+        machines = self._select_machines(selector) if selector in ZONES else [selector]
+        for machine in machines[: math.ceil(float(share) * len(machines))]:
+            self._workers[machine].sick = True
 
     def do_notice(self: "Scenario", machine: str, seconds: str) -> None:
         self._workers[machine].reclaim_at = self._loop.time() + float(seconds)
