Attempts that a newer owner cleared do not count as lost in a restart

Cause: answers to its orders, held back by the cut, came from machines that owners of newer views had commanded since; their attempts had been cleared under tokens above every start. Its conclusions could not be written, as its view was old, but the log and the metric misled.

Change: missing attempts show a restart that matters only while the report's token is not above that of every start; above it the machine refuses them all.

--- a/pulleydeal/workers/incarnation.py
+++ b/pulleydeal/workers/incarnation.py
@@ -52,14 +52,17 @@
 
 
 def has_lost_attempts(s: TrackedMachine, report: m.Report) -> bool:
-    """Whether a newer report of the same session lacks an attempt that was not cleared.
+    """Whether a machine that accepts earlier starts no longer reports an attempt not cleared.
 
     By PROTOCOL only a clear removes an attempt within a session. Without it the machine restarted,
-    with its report numbers and its token going on, and accepts each order that it executed before.
+    with its report numbers and its token going on, and accepts each order that it executed before;
+    or another node with a newer view cleared it, under a token that excludes these orders.
     An attempt whose task is reported with another attempt does not count: a machine may drop it.
     """
     if not s.trusted or report.session != s.session or report.seq <= s.seq:
         return False
+    if report.token > s.start_token:
+        return False
     if report.tasks == s.raw_tasks:
         return False
     reported = {t.task for t in report.tasks}
--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -165,6 +165,18 @@
     assert answer_to(workers, running_checkin(3))[0] == TOKEN + 1
 
 
+def test_attempt_that_a_newer_owner_cleared_is_no_restart() -> None:
+    """Such answers reach a node that was cut off, and whose view is older."""
+    _, workers = owner_with_bound_task()
+    workers.exits.record = lambda *_: None  # type: ignore[method-assign]
+    send_start(workers)
+    answer_to(workers, running_checkin(2, "j-1/0"))
+    tracked = workers.machines["vm-1"]
+    report = m.REPORT.decode(running_checkin(9, token=4 << c.EPOCH_SHIFT).body)
+    workers._on_order_report(tracked, report, None)
+    assert workers.machines["vm-1"] is tracked
+
+
 def test_clear_and_a_dropped_earlier_attempt_are_no_restart() -> None:
     node, workers = owner_with_bound_task()
     node.put(r.chunk_key("j-1", 0), [r.Task("", 1)])
