--- a/review/cluster_2.py
+++ b/review/cluster_2.py
@@ -56,7 +56,7 @@
 class Cluster(Town):
     """Three nodes in three zones, with settings like those of the smaller site."""
 
-    def __init__(self, features: str, **options: Any) -> None:
+    def __init__(self, features: str = "", **options: Any) -> None:
         self.dir = Path(tempfile.mkdtemp(prefix="pulleydeal-review-"))
         super().__init__(self.dir, 3, features=features, **options)
         self.doors = {name: StateDoor(self.state.handle) for name in self.nodes}
@@ -73,13 +73,18 @@
         await super().start()
 
     async def start_node(self, name: str) -> None:
-        """Starts a node with the command of the deploy file; features are switched on by a file."""
+        """Starts a node with the command of the deploy file.
+
+        Without features of the case it has those of the deploy folder.
+        """
         path, features = self.dir / f"{name}.json", self.dir / f"{name}-features.toml"
         path.write_text(json.dumps(self.settings(name), indent=2))
-        features.write_text(self._features.replace("{operators}", str(self.operators[name])))
         log = (self.dir / f"{name}.log").open("ab")
         self._logs.append(log)
-        command = ["run.py", "--config", str(path), "--features", str(features)]
+        command = ["run.py", "--config", str(path)]
+        if self._features:
+            features.write_text(self._features.replace("{operators}", str(self.operators[name])))
+            command += ["--features", str(features)]
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             *command,
