--- a/review/cluster_2.py
+++ b/review/cluster_2.py
@@ -23,7 +23,11 @@
         sys.path.insert(0, str(place))
 
 from pulleydeal.http import Client, NoResponse, Request, Response, Server, json_response  # noqa: E402
-from standins.town import LOCAL, Town, free_port  # noqa: E402
+from standins import town  # noqa: E402
+from standins.town import Town, free_port  # noqa: E402
+
+# A loopback address of this run's own: no other run, and no connection's own end, takes its ports.
+LOCAL = town.LOCAL = f"127.{os.getpid() // 200 % 200 + 20}.{os.getpid() % 200 + 20}.1"
 
 REFUSED = json_response(503, {"error": "refused"})
 RUN_S = 118.0  # a script runs for 120 s at most
@@ -83,7 +87,8 @@
         self._logs.append(log)
         command = ["run.py", "--config", str(path)]
         if self._features:
-            features.write_text(self._features.replace("{operators}", str(self.operators[name])))
+            listen = f"{LOCAL}:{self.operators[name]}"
+            features.write_text(self._features.replace("{operators}", listen))
             command += ["--features", str(features)]
         process = await asyncio.create_subprocess_exec(
             sys.executable,
